Add budget shards, wallet, policies and the controller

Cause: entries need a prepaid budget that cannot be overspent while writes to the platform can be lost, delayed or answered late. Ruled out: caching the shard between updates; a refusal has to be judged by a fresh read, so each update reads first and costs one read and one write. Change: crate budget with the operations on a shard, the wallet, the handle that requests wait on, three draw policies and the controller that groups the operations of a shard into one update.

--- /dev/null
+++ b/crates/budget/src/keeper.rs
@@ -0,0 +1,424 @@
+//! The controller that moves tokens between the wallet and the shards.
+//!
+//! All operations that wait for a shard go into one conditional update. An operation whose answer
+//! was lost stays in the queue; the next read of the shard shows whether it took effect.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use cyc_platform::{Error, Expect, Platform};
+use cyc_types::{BudgetId, ClientAccountId, Clock, Incarnation, Millis, Tokens};
+use futures::future::join_all;
+use rand::RngExt as _;
+use smol_str::SmolStr;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
+
+use crate::{
+    batch::{self, Outcome, Pending},
+    op::{Applied, Op, OpError},
+    policy,
+    purse::{Purse, Shared},
+    shard::{SHARDS, shard_of},
+    wallet::HolderOp,
+};
+
+/// How often a top-up is tried before the operator is told to repeat it.
+const TOP_UP_ATTEMPTS: u32 = 5;
+
+/// The settings of the controller.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// The number of shards; the same at all processes.
+    pub shards: u32,
+    /// How draws are sized.
+    pub draws: policy::Options,
+    /// The longest wait before the first retry.
+    pub first_retry: Millis,
+    /// The longest wait before any retry.
+    pub largest_retry: Millis,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            shards: SHARDS,
+            draws: policy::Options::default(),
+            first_retry: Millis::new(20),
+            largest_retry: Millis::new(2_000),
+        }
+    }
+}
+
+/// The last known record of a budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Known {
+    /// What was paid.
+    pub paid: Tokens,
+    /// What is billed.
+    pub settled: Tokens,
+    /// What can be drawn.
+    pub free: Tokens,
+    /// What other holders hold.
+    pub others: Tokens,
+    /// When the record was read, by the clock of this process.
+    pub at: Millis,
+    /// Number of the read within this process.
+    pub(crate) read: u64,
+}
+
+/// What could not be returned when the controller ended.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CloseReport {
+    /// By budget: the tokens still in the wallet or on the way, and why.
+    pub kept: Vec<(BudgetId, Tokens, SmolStr)>,
+}
+
+pub(crate) type Reply = oneshot::Sender<Result<Applied, OpError>>;
+
+/// An order to the controller.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Draw(HolderOp),
+    Return(HolderOp),
+    Apply(Op, Reply),
+    Refresh(BudgetId),
+    Close(Millis, oneshot::Sender<CloseReport>),
+}
+
+/// The operations that wait for one shard.
+#[derive(Debug, Default)]
+struct Queue {
+    /// In the order in which they came.
+    pending: Vec<Pending>,
+    failures: u32,
+    retry_at: Option<Instant>,
+}
+
+/// The controller. One task of a process runs it.
+pub struct Keeper {
+    platform: Arc<dyn Platform>,
+    shared: Arc<Shared>,
+    rx: mpsc::UnboundedReceiver<Command>,
+    options: Options,
+    queues: BTreeMap<u32, Queue>,
+    closing: Option<Closing>,
+}
+
+/// An order to close that was received.
+type Closing = (Millis, oneshot::Sender<CloseReport>);
+
+impl Keeper {
+    /// Creates the controller of an incarnation, and the handle for requests.
+    pub fn new(
+        platform: Arc<dyn Platform>,
+        me: Incarnation,
+        clock: Clock,
+        options: Options,
+    ) -> (Purse, Self) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared::new(me, clock, options.draws));
+        let keeper = Self {
+            platform,
+            shared: shared.clone(),
+            rx,
+            options,
+            queues: BTreeMap::new(),
+            closing: None,
+        };
+        (Purse::new(shared, tx), keeper)
+    }
+
+    /// Runs until [`Purse::close`] or until all handles are gone.
+    pub async fn run(mut self) {
+        let idle = self
+            .options
+            .draws
+            .idle
+            .duration()
+            .max(Duration::from_millis(1));
+        let mut tick = tokio::time::interval(idle);
+        loop {
+            self.receive_waiting();
+            if let Some((wait, tx)) = self.closing.take() {
+                // The caller may have gone; then nobody reads the report.
+                tx.send(self.close(wait).await).ok();
+                return;
+            }
+            self.attempt_due().await;
+            let retry = self.next_retry();
+            tokio::select! {
+                command = self.rx.recv() => match command {
+                    None => return,
+                    Some(command) => self.push(command),
+                },
+                _ = tick.tick() => self.return_surplus(),
+                () = sleep_until(retry) => {}
+            }
+        }
+    }
+
+    fn receive_waiting(&mut self) {
+        while let Ok(command) = self.rx.try_recv() {
+            self.push(command);
+        }
+    }
+
+    fn push(&mut self, command: Command) {
+        let pending = match command {
+            Command::Draw(op) => Pending::Draw(op),
+            Command::Return(op) => Pending::Return(op),
+            Command::Apply(op, reply) => Pending::Apply(op, Some(reply)),
+            Command::Refresh(budget) => Pending::Read(budget),
+            Command::Close(wait, tx) => {
+                self.closing = Some((wait, tx));
+                return;
+            }
+        };
+        self.enqueue(pending);
+    }
+
+    fn enqueue(&mut self, pending: Pending) {
+        let shard = shard_of(pending.budget(), self.options.shards);
+        let queue = self.queues.entry(shard).or_default();
+        queue.pending.push(pending);
+    }
+
+    fn next_retry(&self) -> Option<Instant> {
+        self.queues
+            .values()
+            .filter_map(|queue| queue.retry_at)
+            .min()
+    }
+
+    /// Tries all shards whose queue is not waiting for a retry.
+    async fn attempt_due(&mut self) {
+        let now = Instant::now();
+        let (platform, shared) = (&self.platform, &self.shared);
+        let due = self
+            .queues
+            .iter_mut()
+            .filter(|(_, queue)| queue.retry_at.is_none_or(|at| at <= now))
+            .map(|(shard, queue)| async {
+                let result = batch::attempt(&**platform, shared, *shard, &queue.pending).await;
+                (queue, result)
+            });
+        for (queue, result) in join_all(due).await {
+            match result {
+                Ok(outcome) => finish(shared, queue, outcome),
+                Err(error) => back_off(queue, &self.options, &error),
+            }
+        }
+        self.queues.retain(|_, queue| !queue.pending.is_empty());
+    }
+
+    /// Starts to return what the entry does not use.
+    fn return_surplus(&mut self) {
+        let draws = &self.options.draws;
+        let now = self.shared.clock.now();
+        let ops: Vec<HolderOp> = self.shared.update(|state| {
+            let wallet = &mut state.wallet;
+            let mut ops = Vec::new();
+            for budget in wallet.budgets() {
+                let free = wallet.own_free(&budget);
+                let keep = draws.keep(wallet.rate(&budget, now));
+                let surplus = match wallet.is_idle(&budget, draws.idle, now) {
+                    true => free,
+                    false if wallet.is_plenty(&budget, draws.idle, now) && !keep.is_zero() => {
+                        free.saturating_sub(keep + keep)
+                    }
+                    false => Tokens::ZERO,
+                };
+                ops.extend(wallet.start_return(&budget, surplus));
+            }
+            ops
+        });
+        for op in ops {
+            self.enqueue(Pending::Return(op));
+        }
+    }
+}
+
+/// Shutdown.
+impl Keeper {
+    async fn close(&mut self, wait: Millis) -> CloseReport {
+        let deadline = Instant::now() + wait.duration();
+        self.drive(deadline).await;
+        let returns: Vec<HolderOp> = self.shared.update(|state| {
+            let wallet = &mut state.wallet;
+            let all = wallet.budgets().into_iter();
+            all.filter_map(|budget| {
+                let free = wallet.own_free(&budget);
+                wallet.start_return(&budget, free)
+            })
+            .collect()
+        });
+        for op in returns {
+            self.enqueue(Pending::Return(op));
+        }
+        self.drive(deadline).await;
+        let mut report = CloseReport::default();
+        let mut replies = Vec::new();
+        for grant in self.own_grants() {
+            let (tx, rx) = oneshot::channel();
+            self.enqueue(Pending::Apply(
+                Op::Close {
+                    grant: grant.clone(),
+                },
+                Some(tx),
+            ));
+            replies.push((grant.budget, rx));
+        }
+        self.drive(deadline).await;
+        for (budget, mut rx) in replies {
+            let here = self.shared.lock().wallet.holding(&budget);
+            let held = here.free + here.reserved + here.returning;
+            match rx.try_recv() {
+                Ok(Ok(_) | Err(OpError::NoGrant(_) | OpError::NoBudget(_))) => {}
+                Ok(Err(error)) => report.kept.push((budget, held, error.to_string().into())),
+                Err(_) => report.kept.push((budget, held, "no answer in time".into())),
+            }
+        }
+        report
+    }
+
+    fn own_grants(&self) -> Vec<cyc_proto::GrantId> {
+        let state = self.shared.lock();
+        let grant = |budget| cyc_proto::GrantId {
+            budget,
+            holder: state.wallet.holder().clone(),
+        };
+        state.wallet.budgets().into_iter().map(grant).collect()
+    }
+
+    async fn drive(&mut self, deadline: Instant) {
+        while !self.queues.is_empty() && Instant::now() < deadline {
+            self.receive_waiting();
+            let retry = self.next_retry();
+            let attempt = async {
+                if retry.is_some() {
+                    sleep_until(retry).await;
+                }
+                self.attempt_due().await;
+            };
+            if tokio::time::timeout_at(deadline, attempt).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn finish(shared: &Shared, queue: &mut Queue, outcome: Outcome) {
+    queue.failures = 0;
+    queue.retry_at = None;
+    let pending = std::mem::take(&mut queue.pending);
+    let now = shared.clock.now();
+    shared.update(|state| {
+        state.known.extend(outcome.known);
+        for (pending, result) in pending.into_iter().zip(outcome.results) {
+            match (pending, result) {
+                (Pending::Draw(_) | Pending::Return(_), Err(OpError::Closed(_))) => {
+                    state.wallet.fenced();
+                }
+                (Pending::Draw(op), result) => {
+                    let moved = result.map_or(Tokens::ZERO, Applied::tokens);
+                    state.wallet.finish_draw(&op, moved, now);
+                }
+                (Pending::Return(op), _) => state.wallet.finish_return(&op),
+                (Pending::Apply(_, Some(reply)), result) => {
+                    // The caller may have gone; the operation stands all the same.
+                    reply.send(result).ok();
+                }
+                (Pending::Apply(_, None) | Pending::Read(_), _) => {}
+            }
+        }
+    });
+}
+
+/// Keeps the operations and waits before the next attempt: full jitter under a doubling bound.
+fn back_off(queue: &mut Queue, options: &Options, error: &Error) {
+    queue.failures = match error {
+        Error::Conflict => queue.failures.min(1),
+        _ => queue.failures.saturating_add(1),
+    };
+    let factor = 1_u64 << queue.failures.saturating_sub(1).min(16);
+    let bound = options.first_retry.get().saturating_mul(factor);
+    let bound = bound.min(options.largest_retry.get());
+    let wait = rand::rng().random_range(0..=bound);
+    queue.retry_at = Some(Instant::now() + Duration::from_millis(wait));
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Why a top-up was not confirmed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TopUpError {
+    /// The shard refused it; it has had no effect.
+    Refused(OpError),
+    /// It may or may not have taken effect. It is safe to repeat it with the same id.
+    Unconfirmed(Error),
+}
+
+impl std::fmt::Display for TopUpError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Refused(error) => write!(f, "the top-up was refused: {error}"),
+            Self::Unconfirmed(error) => {
+                write!(
+                    f,
+                    "repeat the top-up with the same id, it is unconfirmed: {error}"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for TopUpError {}
+
+/// A payment to be counted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Payment {
+    /// The budget.
+    pub budget: BudgetId,
+    /// The client account that pays.
+    pub account: ClientAccountId,
+    /// The operator's id of the payment.
+    pub id: SmolStr,
+    /// The tokens paid for.
+    pub tokens: Tokens,
+    /// Wall-clock time, for reports only.
+    pub at: Millis,
+}
+
+/// Counts a payment for the operators' command; creates the budget if it is absent.
+///
+/// # Errors
+/// See [`TopUpError`].
+pub async fn top_up(
+    platform: &dyn Platform,
+    shards: u32,
+    payment: Payment,
+) -> Result<Applied, TopUpError> {
+    let op = Op::TopUp {
+        budget: payment.budget,
+        account: payment.account,
+        id: payment.id,
+        tokens: payment.tokens,
+        at: payment.at,
+    };
+    batch::apply_now(platform, shards, &op, TOP_UP_ATTEMPTS)
+        .await
+        .map_err(TopUpError::Unconfirmed)?
+        .map_err(TopUpError::Refused)
+}
+
+/// Returns the condition for writing over an object as it was read.
+pub(crate) fn expect_of(object: Option<&cyc_platform::Object>) -> Expect {
+    object.map_or(Expect::Absent, |object| Expect::Version(object.version))
+}
--- /dev/null
+++ b/crates/budget/src/lib.rs
@@ -0,0 +1,19 @@
+//! Budgets held in escrow: the shards in the platform, the wallet of an entry and the controller
+//! that moves tokens between the two.
+//!
+//! Invariant of every budget, after every operation: `settled + sum(grant.amount) <= paid`.
+
+mod batch;
+pub mod keeper;
+pub mod op;
+pub mod policy;
+pub mod purse;
+pub mod shard;
+pub mod wallet;
+
+pub use keeper::{CloseReport, Keeper, Known, Payment, TopUpError, top_up};
+pub use op::{Applied, Op, OpError, apply};
+pub use policy::Policy;
+pub use purse::Purse;
+pub use shard::{Grant, Record, SHARDS, Shard, TopUp, shard_of};
+pub use wallet::{Reservation, Reserve, Wallet};
--- /dev/null
+++ b/crates/budget/src/shard.rs
@@ -0,0 +1,164 @@
+//! The shard objects: budgets with their top-ups and open grants.
+
+use std::{collections::BTreeMap, fmt};
+
+use cyc_platform::{Body, Kind, MAX_VALUE, ObjectKey};
+use cyc_types::{BudgetId, ByteSize, ClientAccountId, Incarnation, Millis, Tokens, hash};
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+
+/// The default number of shards.
+pub const SHARDS: u32 = 64;
+
+/// Returns the shard of a budget.
+pub fn shard_of(budget: &BudgetId, shards: u32) -> u32 {
+    hash::bucket(budget.as_str().as_bytes(), shards)
+}
+
+/// Returns the name of the object that holds a shard.
+pub fn shard_key(shard: u32) -> ObjectKey {
+    ObjectKey::new(Kind::Budget, format_smolstr!("shard-{shard}"))
+}
+
+/// For each writer of receipt segments, the sequence of its last segment that was settled.
+pub type AppliedSegments = BTreeMap<Incarnation, u64>;
+
+/// All budgets of one shard object.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shard {
+    /// The budgets.
+    pub budgets: BTreeMap<BudgetId, Record>,
+}
+
+/// One budget.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The client account that prepaid it.
+    pub account: ClientAccountId,
+    /// Invariant: the sum of `top_ups`.
+    pub paid: Tokens,
+    /// The top-ups. Invariant: no two share an id.
+    pub top_ups: Vec<TopUp>,
+    /// Tokens billed, less the duplicates credited.
+    /// Invariant: `settled` and the amounts of all grants add up to `paid` at most.
+    pub settled: Tokens,
+    /// The open grants by holder.
+    #[serde(default)]
+    pub grants: BTreeMap<Incarnation, Grant>,
+    /// The grants that were closed, with the segments settled against them.
+    /// Invariant: no holder is both here and in `grants`; a holder here draws no more.
+    #[serde(default)]
+    pub closed: BTreeMap<Incarnation, AppliedSegments>,
+    /// Sequence of the last merge record whose credit took effect. It only grows.
+    #[serde(default)]
+    pub last_merge: u64,
+}
+
+/// One payment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopUp {
+    /// The operator's id of the payment.
+    pub id: SmolStr,
+    /// The tokens paid for.
+    pub tokens: Tokens,
+    /// Wall-clock time, for reports only.
+    pub at: Millis,
+}
+
+/// Tokens that one holder may spend.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// What may still be spent from this grant.
+    pub amount: Tokens,
+    /// Number of the holder's last draw or return that took effect. It only grows.
+    pub holder_op: u64,
+    /// The tokens that the operation `holder_op` moved.
+    pub moved: Tokens,
+    /// The segments settled against this grant.
+    #[serde(default)]
+    pub applied: AppliedSegments,
+}
+
+impl Record {
+    /// Creates an empty budget of an account.
+    pub fn new(account: ClientAccountId) -> Self {
+        Self {
+            account,
+            paid: Tokens::ZERO,
+            top_ups: Vec::new(),
+            settled: Tokens::ZERO,
+            grants: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            last_merge: 0,
+        }
+    }
+
+    /// Returns the tokens held in open grants.
+    pub fn granted(&self) -> Tokens {
+        self.grants.values().map(|grant| grant.amount).sum()
+    }
+
+    /// Returns the tokens that can be drawn.
+    pub fn free(&self) -> Tokens {
+        self.paid
+            .saturating_sub(self.settled)
+            .saturating_sub(self.granted())
+    }
+
+    /// Returns true if nothing is spent or granted beyond what was paid.
+    pub fn is_sound(&self) -> bool {
+        let used = self
+            .grants
+            .values()
+            .try_fold(self.settled, |sum, grant| sum.checked_add(grant.amount));
+        used.is_some_and(|used| used <= self.paid)
+    }
+}
+
+/// Why a shard object cannot be read or written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CodecError {
+    /// The value is not the JSON of a shard, or breaks an invariant.
+    Malformed(String),
+    /// The shard is larger than an object may be.
+    TooLarge(ByteSize),
+}
+
+impl fmt::Display for CodecError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(why) => write!(f, "the shard cannot be read: {why}"),
+            Self::TooLarge(size) => write!(f, "the shard has {size} bytes, over {MAX_VALUE}"),
+        }
+    }
+}
+
+impl std::error::Error for CodecError {}
+
+impl Shard {
+    /// Reads the value of a shard object.
+    ///
+    /// # Errors
+    /// [`CodecError::Malformed`] if the value is not a sound shard.
+    pub fn decode(body: &[u8]) -> Result<Self, CodecError> {
+        let shard: Self =
+            serde_json::from_slice(body).map_err(|e| CodecError::Malformed(e.to_string()))?;
+        match shard.budgets.iter().find(|(_, record)| !record.is_sound()) {
+            Some((budget, _)) => Err(CodecError::Malformed(format!("{budget} is overdrawn"))),
+            None => Ok(shard),
+        }
+    }
+
+    /// Returns the value of the shard object.
+    ///
+    /// # Errors
+    /// [`CodecError::TooLarge`] if the platform would not take the value.
+    pub fn encode(&self) -> Result<Body, CodecError> {
+        let json = serde_json::to_vec(self).map_err(|e| CodecError::Malformed(e.to_string()))?;
+        let size = ByteSize::new(json.len() as u64);
+        if size > MAX_VALUE {
+            return Err(CodecError::TooLarge(size));
+        }
+        Ok(Body::from(json))
+    }
+}
