claim: durable claims with group commit

Cause: a non-idempotent request must run at most once, also when the store loses answers or delays writes.

Ruled out: ending a claim by request id alone. After a lost answer the waiting operations are applied again, and the end of claim 1 then ended claim 2 of the same sidecar after its caller had been told that it holds it. Ends now name the serial number of the claim.

Change: bucket objects with their pure operations, and a committer that writes all operations waiting for a bucket in one conditional update. A write in doubt is resolved by reading the bucket, and barred by another write while the version has not moved, before any caller is told.

--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,14 @@
+//! Claims of non-idempotent requests.
+//!
+//! Before a target sees a non-idempotent request, its sidecar makes a claim durable in a bucket
+//! object of the platform. A request has at most one claim, so at most one sidecar runs it.
+//! [`bucket`] holds the value of such an object and its pure operations, [`commit`] writes the
+//! operations that wait for a bucket in one conditional update.
+
+pub mod bucket;
+pub mod commit;
+mod waiter;
+mod worker;
+
+pub use bucket::{Bucket, Claim, Draft, State, bucket_of, object_key};
+pub use commit::{ClaimOutcome, Committer, DoneAnswer, Options};
--- /dev/null
+++ b/crates/claim/tests/claim.rs
@@ -0,0 +1,10 @@
+//! Tests of claims: the rules of a bucket, group commit, and races with lost and delayed writes.
+
+#[path = "claim/bucket.rs"]
+mod bucket;
+#[path = "claim/commit.rs"]
+mod commit;
+#[path = "claim/fake.rs"]
+mod fake;
+#[path = "claim/race.rs"]
+mod race;
--- /dev/null
+++ b/crates/claim/tests/claim/commit.rs
@@ -0,0 +1,280 @@
+//! The committer with one or two sidecars.
+
+use std::{sync::Arc, time::Duration};
+
+use cyc_claim::{ClaimOutcome, Committer, DoneAnswer, Options, State, object_key};
+use cyc_types::{Clock, Incarnation, Millis, RequestId, ServiceId, Tokens};
+use googletest::prelude::*;
+
+use crate::fake::{Fake, Faults};
+
+const WAIT: Millis = Millis::new(500);
+
+/// Waits for all tasks.
+async fn join<T>(tasks: Vec<tokio::task::JoinHandle<T>>) -> Result<Vec<T>> {
+    let mut done = Vec::new();
+    for task in tasks {
+        done.push(task.await?);
+    }
+    Ok(done)
+}
+
+fn service() -> Result<ServiceId> {
+    Ok("hire-desk".parse()?)
+}
+
+fn committer(fake: &Fake, vm: &str, clock: &Clock, options: Options) -> Result<Committer> {
+    let me = Incarnation::new(vm.parse()?, 1);
+    Ok(Committer::new(
+        Arc::new(fake.clone()),
+        me,
+        vm.parse()?,
+        clock.clone(),
+        options,
+    ))
+}
+
+fn answer(body: &str) -> DoneAnswer {
+    DoneAnswer {
+        status: 201,
+        content_type: "application/json".into(),
+        body: body.into(),
+        tokens: Tokens::new(3),
+    }
+}
+
+fn done(body: Option<&str>) -> State {
+    State::Done {
+        status: 201,
+        content_type: "application/json".into(),
+        body: body.map(Into::into),
+        tokens: Tokens::new(3),
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn claims_of_one_bucket_share_writes() -> Result<()> {
+    let fake = Fake::new(
+        1,
+        Faults {
+            delay_ms: 10,
+            ..Faults::default()
+        },
+    );
+    let clock = Clock::new_manual(Millis::new(1));
+    let one = committer(&fake, "vm-1", &clock, Options::default())?;
+    let service = service()?;
+    let tasks: Vec<_> = (0..50)
+        .map(|id| {
+            let (one, service) = (one.clone(), service.clone());
+            tokio::spawn(async move { one.claim(&service, 0, RequestId::new(id), 1, WAIT).await })
+        })
+        .collect();
+    let outcomes = join(tasks).await?;
+    expect_that!(outcomes, each(eq(&ClaimOutcome::Claimed)));
+    expect_that!(fake.puts(), le(2));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_second_claim_learns_of_the_first() -> Result<()> {
+    let fake = Fake::new(1, Faults::default());
+    let clock = Clock::new_manual(Millis::new(1));
+    let one = committer(&fake, "vm-1", &clock, Options::default())?;
+    let two = committer(&fake, "vm-2", &clock, Options::default())?;
+    let (service, id) = (service()?, RequestId::new(1));
+    let other = |state| ClaimOutcome::Other {
+        by: Incarnation::new("vm-1".parse().expect("an id"), 1),
+        target: "vm-1".parse().expect("an id"),
+        state,
+        fingerprint: 1,
+    };
+    expect_that!(
+        one.claim(&service, 0, id, 1, WAIT).await,
+        eq(&ClaimOutcome::Claimed)
+    );
+    expect_that!(
+        one.claim(&service, 0, id, 1, WAIT).await,
+        eq(&ClaimOutcome::Mine(State::Claimed))
+    );
+    expect_that!(
+        two.claim(&service, 0, id, 1, WAIT).await,
+        eq(&other(State::Claimed))
+    );
+    expect_that!(
+        two.claim(&service, 0, id, 2, WAIT).await,
+        eq(&ClaimOutcome::KeyReused)
+    );
+    one.done(&service, 0, id, answer("kit 4"));
+    one.flush().await;
+    expect_that!(
+        two.claim(&service, 0, id, 1, WAIT).await,
+        eq(&other(done(Some("kit 4"))))
+    );
+    two.not_run(&service, 0, id);
+    two.flush().await;
+    let mine = one.claim(&service, 0, id, 1, WAIT).await;
+    expect_that!(mine, eq(&ClaimOutcome::Mine(done(Some("kit 4")))));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn what_was_not_run_may_be_claimed_by_anybody() -> Result<()> {
+    let fake = Fake::new(1, Faults::default());
+    let clock = Clock::new_manual(Millis::new(1));
+    let one = committer(&fake, "vm-1", &clock, Options::default())?;
+    let two = committer(&fake, "vm-2", &clock, Options::default())?;
+    let (service, id) = (service()?, RequestId::new(1));
+    expect_that!(
+        one.claim(&service, 0, id, 1, WAIT).await,
+        eq(&ClaimOutcome::Claimed)
+    );
+    one.not_run(&service, 0, id);
+    one.flush().await;
+    expect_that!(
+        two.claim(&service, 0, id, 1, WAIT).await,
+        eq(&ClaimOutcome::Claimed)
+    );
+    // The cached bucket of the first sidecar is out of date and must not be trusted.
+    let late = one.claim(&service, 0, id, 1, WAIT).await;
+    expect_that!(
+        late,
+        matches_pattern!(ClaimOutcome::Other {
+            state: eq(&State::Claimed),
+            ..
+        })
+    );
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_outage_is_unavailable_until_a_write_has_left() -> Result<()> {
+    let out = Faults {
+        lost_call: 100,
+        ..Faults::default()
+    };
+    let fake = Fake::new(1, out);
+    let clock = Clock::new_manual(Millis::new(1));
+    let one = committer(&fake, "vm-1", &clock, Options::default())?;
+    let (service, id) = (service()?, RequestId::new(1));
+    expect_that!(
+        one.claim(&service, 0, id, 1, WAIT).await,
+        eq(&ClaimOutcome::Unavailable)
+    );
+    fake.set(Faults::default());
+    one.flush().await;
+    expect_that!(fake.bucket(&object_key(&service, 0)).claims.len(), eq(0));
+
+    fake.set(Faults {
+        lost_answer: 100,
+        ..Faults::default()
+    });
+    let claiming = one.claim(&service, 0, id, 1, Millis::new(5));
+    expect_that!(claiming.await, eq(&ClaimOutcome::Unknown));
+    fake.set(Faults::default());
+    one.flush().await;
+    let bucket = fake.bucket(&object_key(&service, 0));
+    expect_that!(
+        bucket.claims.get(&id).map(|c| &c.state),
+        some(eq(&State::NotRun))
+    );
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_late_write_is_barred_after_the_caller_gave_up() -> Result<()> {
+    let late = Faults {
+        late_write: 100,
+        late_ms: (5_000, 5_000),
+        ..Faults::default()
+    };
+    let fake = Fake::new(1, late);
+    let clock = Clock::new_manual(Millis::new(1));
+    let one = committer(&fake, "vm-1", &clock, Options::default())?;
+    let (service, id) = (service()?, RequestId::new(1));
+    let outcome = one.claim(&service, 0, id, 1, Millis::new(10)).await;
+    expect_that!(outcome, eq(&ClaimOutcome::Unknown));
+    fake.set(Faults::default());
+    one.flush().await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let bucket = fake.bucket(&object_key(&service, 0));
+    let is_open = bucket
+        .claims
+        .values()
+        .any(|claim| claim.state == State::Claimed);
+    expect_that!(is_open, eq(false));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn ends_are_kept_while_the_store_is_out() -> Result<()> {
+    let fake = Fake::new(1, Faults::default());
+    let clock = Clock::new_manual(Millis::new(1));
+    let one = committer(&fake, "vm-1", &clock, Options::default())?;
+    let (service, id) = (service()?, RequestId::new(1));
+    expect_that!(
+        one.claim(&service, 0, id, 1, WAIT).await,
+        eq(&ClaimOutcome::Claimed)
+    );
+    fake.set(Faults {
+        lost_call: 100,
+        ..Faults::default()
+    });
+    one.done(&service, 0, id, answer("kit 4"));
+    tokio::time::sleep(Duration::from_secs(3600)).await;
+    expect_that!(one.is_idle(), eq(false));
+    fake.set(Faults::default());
+    one.flush().await;
+    let bucket = fake.bucket(&object_key(&service, 0));
+    expect_that!(
+        bucket.claims.get(&id).map(|c| &c.state),
+        some(eq(&done(Some("kit 4"))))
+    );
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_full_bucket_refuses_claims_and_keeps_the_live_ones() -> Result<()> {
+    let fake = Fake::new(1, Faults::default());
+    let clock = Clock::new_manual(Millis::new(1));
+    let window = Millis::MINUTE;
+    let options = Options {
+        bucket_bytes: 10_000,
+        retry_window: window,
+        ..Options::default()
+    };
+    let one = committer(&fake, "vm-1", &clock, options)?;
+    let service = service()?;
+    let mut claimed = Vec::new();
+    for id in (0..100).map(RequestId::new) {
+        match one.claim(&service, 0, id, 1, WAIT).await {
+            ClaimOutcome::Claimed => claimed.push(id),
+            other => expect_that!(other, eq(&ClaimOutcome::Unavailable)),
+        }
+    }
+    expect_that!(claimed.len(), all!(gt(5), lt(100)));
+    for id in &claimed {
+        one.done(&service, 0, *id, answer(&"x".repeat(3_000)));
+    }
+    one.flush().await;
+    let key = object_key(&service, 0);
+    expect_that!(fake.size(&key), le(10_000));
+    let bucket = fake.bucket(&key);
+    let is_done = |id: &RequestId| {
+        let claim = bucket.claims.get(id);
+        claim.is_some_and(|claim| matches!(claim.state, State::Done { .. }))
+    };
+    expect_that!(claimed.iter().all(is_done), eq(true));
+    clock.advance(window + Millis::SECOND);
+    let fresh = one.claim(&service, 0, RequestId::new(1_000), 1, WAIT).await;
+    expect_that!(fresh, eq(&ClaimOutcome::Claimed));
+    expect_that!(fake.bucket(&key).claims.len(), eq(1));
+    Ok(())
+}
--- /dev/null
+++ b/crates/claim/tests/claim/fake.rs
@@ -0,0 +1,193 @@
+//! An object store in memory with seeded faults.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use cyc_claim::Bucket;
+use cyc_platform::{
+    Body, Change, Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Platform, Result, Vm,
+};
+use cyc_types::{ByteSize, Millis, Version};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+
+/// Shares of calls, in percent, that meet a fault.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// The call is lost before its effect.
+    pub lost_call: u32,
+    /// The answer is lost after the effect.
+    pub lost_answer: u32,
+    /// The caller gets an error and the write arrives later.
+    pub late_write: u32,
+    /// The call is refused for its rate.
+    pub throttled: u32,
+    /// The longest delay of a call.
+    pub delay_ms: u64,
+    /// The shortest and the longest delay of a late write.
+    pub late_ms: (u64, u64),
+}
+
+struct Store {
+    objects: HashMap<ObjectKey, (u64, Body)>,
+    version: u64,
+    faults: Faults,
+    rng: SmallRng,
+    puts: usize,
+}
+
+impl Store {
+    fn put(&mut self, key: &ObjectKey, body: Body, expect: Expect) -> Result<Version> {
+        let found = self.objects.get(key).map_or(0, |(version, _)| *version);
+        let wanted = match expect {
+            Expect::Absent => 0,
+            Expect::Version(version) => version.get(),
+        };
+        if found != wanted {
+            return Err(Error::Conflict);
+        }
+        self.version += 1;
+        self.objects.insert(key.clone(), (self.version, body));
+        Ok(Version::new(self.version))
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+}
+
+#[derive(Clone)]
+pub struct Fake(Arc<Mutex<Store>>);
+
+impl Fake {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        Self(Arc::new(Mutex::new(Store {
+            objects: HashMap::new(),
+            version: 0,
+            faults,
+            rng: SmallRng::seed_from_u64(seed),
+            puts: 0,
+        })))
+    }
+
+    fn store(&self) -> std::sync::MutexGuard<'_, Store> {
+        self.0.lock().expect("no test thread panics with the lock")
+    }
+
+    pub fn set(&self, faults: Faults) {
+        self.store().faults = faults;
+    }
+
+    pub fn puts(&self) -> usize {
+        self.store().puts
+    }
+
+    pub fn size(&self, key: &ObjectKey) -> usize {
+        self.store()
+            .objects
+            .get(key)
+            .map_or(0, |(_, body)| body.len())
+    }
+
+    pub fn bucket(&self, key: &ObjectKey) -> Bucket {
+        let store = self.store();
+        let found = store.objects.get(key);
+        found.map_or_else(Bucket::default, |(_, body)| {
+            serde_json::from_slice(body).expect("the product wrote it")
+        })
+    }
+
+    async fn delay(&self) {
+        let most = self.store().faults.delay_ms;
+        self.delay_between(0, most).await;
+    }
+
+    async fn delay_between(&self, least: u64, most: u64) {
+        let ms = self.store().rng.random_range(least..=most);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+
+    fn late(&self, key: ObjectKey, body: Body, expect: Expect) {
+        let fake = self.clone();
+        let (least, most) = self.store().faults.late_ms;
+        tokio::spawn(async move {
+            fake.delay_between(least, most).await;
+            let _ = fake.store().put(&key, body, expect);
+        });
+    }
+}
+
+fn unavailable<T>() -> Result<T> {
+    Err(Error::Unavailable("fault".into()))
+}
+
+#[async_trait]
+impl Platform for Fake {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<Object>> {
+        self.delay().await;
+        let mut store = self.store();
+        let lost = store.faults.lost_call;
+        if store.chance(lost) {
+            return unavailable();
+        }
+        Ok(store.objects.get(key).map(|(version, body)| Object {
+            key: key.clone(),
+            version: Version::new(*version),
+            body: body.clone(),
+        }))
+    }
+
+    async fn put(&self, key: &ObjectKey, body: Body, expect: Expect) -> Result<Version> {
+        self.delay().await;
+        let answer = {
+            let mut store = self.store();
+            store.puts += 1;
+            let faults = store.faults;
+            if body.len() as u64 > MAX_VALUE.get() {
+                return Err(Error::TooLarge(ByteSize::new(body.len() as u64)));
+            }
+            if store.chance(faults.throttled) {
+                return Err(Error::Throttled);
+            }
+            if store.chance(faults.lost_call) {
+                return unavailable();
+            }
+            if store.chance(faults.late_write) {
+                drop(store);
+                self.late(key.clone(), body, expect);
+                return unavailable();
+            }
+            let answer = store.put(key, body, expect);
+            if store.chance(faults.lost_answer) {
+                unavailable()
+            } else {
+                answer
+            }
+        };
+        self.delay().await;
+        answer
+    }
+
+    async fn delete(&self, _: &ObjectKey, _: Version) -> Result<()> {
+        unavailable()
+    }
+
+    async fn list(&self, _: Kind, _: &str) -> Result<Vec<Object>> {
+        unavailable()
+    }
+
+    async fn watch(&self, _: Kind, _: &str, _: Version, _: Millis) -> Result<Vec<Change>> {
+        unavailable()
+    }
+
+    async fn vms(&self) -> Result<Vec<Vm>> {
+        unavailable()
+    }
+
+    async fn weight_permit(&self, _: ByteSize) -> Result<Option<Millis>> {
+        unavailable()
+    }
+}
