HTTP client of the platform; stand-ins for platform, engine and service

Cause: other crates need a platform, engines and services with faults to test against. Ruled out: faults only over HTTP (tests in one process would need sockets); dropping the bytes of a black-holed connection (a partition delays bytes, a relay that drops some corrupts the stream). Change: cyc_platform::HttpPlatform and wire types; crate standin with store, engine, service, relay, process control and three programs; docs/INTERFACES.md. Before and after: before, no code and no tests for it. After, 4 tests of the client and 10 contract tests of the store pass, the latter in process and over HTTP; engine, service, relay and programs have no tests yet. Conclusion: usable by other crates; tests of the rest follow.

--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,243 @@
+//! The platform's services over HTTP/1.1.
+
+use std::{fmt::Display, net::SocketAddr};
+
+use ::http::{
+    HeaderMap, Method, Request, StatusCode,
+    header::{CONTENT_TYPE, ETAG, IF_MATCH, IF_NONE_MATCH},
+    request::Builder,
+};
+use async_trait::async_trait;
+use bytes::Bytes;
+use cyc_types::{ByteSize, Millis, Version};
+use http_body_util::{BodyExt as _, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    Body, Change, Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Platform, Result, Vm,
+    wire::{ChangeItem, ListItem, PermitReply, PermitRequest},
+};
+
+/// How long a call may take unless [`HttpPlatform::with_timeout`] says otherwise.
+const DEFAULT_TIMEOUT: Millis = Millis::new(2_000);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Millis = Millis::new(30_000);
+
+/// A client of the platform with pooled connections. Clones share the pool.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    addr: SocketAddr,
+    timeout: Millis,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// An answer that was read to its end.
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Construction.
+impl HttpPlatform {
+    /// Creates a client of the platform at `addr`; no connection is made yet.
+    pub fn new(addr: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT.duration())
+            .build(connector);
+        Self {
+            addr,
+            timeout: DEFAULT_TIMEOUT,
+            client,
+        }
+    }
+
+    /// Sets how long a call may take, connecting included; a watch may take its wait on top.
+    pub fn with_timeout(mut self, timeout: Millis) -> Self {
+        self.timeout = timeout;
+        self
+    }
+}
+
+/// Sending.
+impl HttpPlatform {
+    fn request(&self, method: Method, path: &str) -> Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.addr))
+    }
+
+    async fn send(&self, req: Builder, body: Bytes, timeout: Millis) -> Result<Answer> {
+        let req = req.body(Full::new(body)).map_err(malformed)?;
+        let exchange = async {
+            let answer = self.client.request(req).await.map_err(unavailable)?;
+            let (head, body) = answer.into_parts();
+            let body = body.collect().await.map_err(unavailable)?.to_bytes();
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
+        };
+        tokio::time::timeout(timeout.duration(), exchange)
+            .await
+            .map_err(|_| Error::Unavailable(format!("timeout after {timeout} ms")))?
+    }
+
+    async fn read(&self, path: &str, timeout: Millis) -> Result<Answer> {
+        let req = self.request(Method::GET, path);
+        self.send(req, Bytes::new(), timeout).await
+    }
+
+    async fn read_json<T: DeserializeOwned>(&self, path: &str, timeout: Millis) -> Result<T> {
+        let answer = self.read(path, timeout).await?;
+        parse(&expect_success(answer, ByteSize::ZERO)?.body)
+    }
+}
+
+#[async_trait]
+impl Platform for HttpPlatform {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<Object>> {
+        let answer = self.read(&object_path(key), self.timeout).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let answer = expect_success(answer, ByteSize::ZERO)?;
+        Ok(Some(Object {
+            key: key.clone(),
+            version: version_of(&answer.headers)?,
+            body: answer.body,
+        }))
+    }
+
+    async fn put(&self, key: &ObjectKey, body: Body, expect: Expect) -> Result<Version> {
+        let size = ByteSize::new(body.len() as u64);
+        if size > MAX_VALUE {
+            return Err(Error::TooLarge(size));
+        }
+        let req = self
+            .request(Method::PUT, &object_path(key))
+            .header(CONTENT_TYPE, "application/json");
+        let req = match expect {
+            Expect::Absent => req.header(IF_NONE_MATCH, "*"),
+            Expect::Version(version) => req.header(IF_MATCH, etag(version)),
+        };
+        let answer = self.send(req, body, self.timeout).await?;
+        version_of(&expect_success(answer, size)?.headers)
+    }
+
+    async fn delete(&self, key: &ObjectKey, version: Version) -> Result<()> {
+        let req = self
+            .request(Method::DELETE, &object_path(key))
+            .header(IF_MATCH, etag(version));
+        let answer = self.send(req, Bytes::new(), self.timeout).await?;
+        expect_success(answer, ByteSize::ZERO).map(drop)
+    }
+
+    async fn list(&self, kind: Kind, prefix: &str) -> Result<Vec<Object>> {
+        let path = format!("/v1/objects/{kind}?prefix={}", escape(prefix));
+        let items: Vec<ListItem> = self.read_json(&path, self.timeout).await?;
+        let object = |item: ListItem| Object {
+            key: ObjectKey::new(kind, item.name),
+            version: item.version,
+            body: item.body.into(),
+        };
+        Ok(items.into_iter().map(object).collect())
+    }
+
+    async fn watch(
+        &self,
+        kind: Kind,
+        prefix: &str,
+        since: Version,
+        wait: Millis,
+    ) -> Result<Vec<Change>> {
+        let prefix = escape(prefix);
+        let path = format!("/v1/watch/{kind}?prefix={prefix}&since={since}&wait_ms={wait}");
+        let items: Vec<ChangeItem> = self.read_json(&path, self.timeout + wait).await?;
+        let change = |item: ChangeItem| Change {
+            key: ObjectKey::new(kind, item.name),
+            version: item.version,
+            deleted: item.deleted,
+        };
+        Ok(items.into_iter().map(change).collect())
+    }
+
+    async fn vms(&self) -> Result<Vec<Vm>> {
+        self.read_json("/v1/vms", self.timeout).await
+    }
+
+    async fn weight_permit(&self, bytes: ByteSize) -> Result<Option<Millis>> {
+        let body = serde_json::to_vec(&PermitRequest { bytes }).map_err(malformed)?;
+        let req = self
+            .request(Method::POST, "/v1/weights/permit")
+            .header(CONTENT_TYPE, "application/json");
+        let answer = self.send(req, body.into(), self.timeout).await?;
+        let reply: PermitReply = parse(&expect_success(answer, ByteSize::ZERO)?.body)?;
+        Ok(Some(reply.wait_ms).filter(|wait| !wait.is_zero()))
+    }
+}
+
+/// Maps each status to the error that says what is known about the effect.
+fn expect_success(answer: Answer, sent: ByteSize) -> Result<Answer> {
+    match answer.status {
+        status if status.is_success() => Ok(answer),
+        StatusCode::PRECONDITION_FAILED => Err(Error::Conflict),
+        StatusCode::PAYLOAD_TOO_LARGE => Err(Error::TooLarge(sent)),
+        StatusCode::TOO_MANY_REQUESTS => Err(Error::Throttled),
+        status if status.is_server_error() => Err(Error::Unavailable(status.to_string())),
+        status => Err(Error::Malformed(format!("unexpected status {status}"))),
+    }
+}
+
+fn unavailable(error: impl std::error::Error) -> Error {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    Error::Unavailable(text)
+}
+
+fn malformed(error: impl Display) -> Error {
+    Error::Malformed(error.to_string())
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(malformed)
+}
+
+fn etag(version: Version) -> String {
+    format!("\"{version}\"")
+}
+
+fn version_of(headers: &HeaderMap) -> Result<Version> {
+    let text = headers.get(ETAG).and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.strip_prefix('"')?.strip_suffix('"')?.parse().ok())
+        .ok_or_else(|| malformed(format!("no version in the entity tag {text:?}")))
+}
+
+fn object_path(key: &ObjectKey) -> String {
+    format!("/v1/objects/{}/{}", key.kind, escape(&key.name))
+}
+
+/// Percent-encodes every byte that has a meaning of its own in a path or a query.
+fn escape(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-_.@:".contains(&byte) {
+            out.push(char::from(byte));
+        } else {
+            out.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    out
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,11 +4,14 @@
 //! The object API is the only place where anything lasts. Each value is at most
 //! [`MAX_VALUE`]; each call counts against the platform's rates, a waiting watch as one.
 
+pub mod http;
 pub mod object;
 pub mod vm;
+pub mod wire;
 
 use async_trait::async_trait;
 use cyc_types::{ByteSize, Millis, Version};
+pub use http::HttpPlatform;
 pub use object::{Body, Change, Expect, Kind, Object, ObjectKey};
 pub use vm::{Vm, VmState};
 
--- /dev/null
+++ b/crates/platform/tests/platform.rs
@@ -0,0 +1,197 @@
+//! Tests of the HTTP client: each answer of the platform as the error that tells the truth.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use cyc_platform::{Body, Error, Expect, HttpPlatform, Kind, MAX_VALUE, ObjectKey, Platform as _};
+use cyc_types::{ByteSize, Millis, Version};
+use googletest::prelude::*;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+    sync::mpsc,
+};
+
+const TIMEOUT: Millis = Millis::new(5_000);
+/// An address where nothing listens: the port is reserved.
+const CLOSED: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
+const SHORT_TIMEOUT: Millis = Millis::new(50);
+
+/// Answers each connection with `answer` after its first bytes, and reports those bytes.
+async fn canned(answer: &'static str) -> std::io::Result<(SocketAddr, mpsc::Receiver<String>)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    let (tx, rx) = mpsc::channel(16);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = vec![0; 4_096];
+            let read = stream.read(&mut buf).await.unwrap_or_default();
+            let _ = tx
+                .send(String::from_utf8_lossy(&buf[..read]).into_owned())
+                .await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    Ok((addr, rx))
+}
+
+fn key() -> ObjectKey {
+    ObjectKey::new(Kind::Budget, "shard-1")
+}
+
+#[gtest]
+#[tokio::test]
+async fn each_answer_to_a_write_says_what_is_known_of_its_effect() -> Result<()> {
+    let unavailable = |why: &str| Some(Error::Unavailable(why.into()));
+    let malformed = |why: &str| Some(Error::Malformed(why.into()));
+    let table = [
+        (
+            "HTTP/1.1 200 OK\r\netag: \"7\"\r\ncontent-length: 0\r\n\r\n",
+            None,
+        ),
+        (
+            "HTTP/1.1 201 Created\r\netag: \"7\"\r\ncontent-length: 0\r\n\r\n",
+            None,
+        ),
+        (
+            "HTTP/1.1 412 P\r\ncontent-length: 0\r\n\r\n",
+            Some(Error::Conflict),
+        ),
+        (
+            "HTTP/1.1 413 T\r\ncontent-length: 0\r\n\r\n",
+            Some(Error::TooLarge(ByteSize::new(2))),
+        ),
+        (
+            "HTTP/1.1 429 T\r\ncontent-length: 0\r\n\r\n",
+            Some(Error::Throttled),
+        ),
+        (
+            "HTTP/1.1 500 I\r\ncontent-length: 0\r\n\r\n",
+            unavailable("500 Internal Server Error"),
+        ),
+        (
+            "HTTP/1.1 503 S\r\ncontent-length: 0\r\n\r\n",
+            unavailable("503 Service Unavailable"),
+        ),
+        (
+            "HTTP/1.1 302 F\r\ncontent-length: 0\r\n\r\n",
+            malformed("unexpected status 302 Found"),
+        ),
+        (
+            "HTTP/1.1 404 N\r\ncontent-length: 0\r\n\r\n",
+            malformed("unexpected status 404 Not Found"),
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+            malformed("no version in the entity tag None"),
+        ),
+        (
+            "HTTP/1.1 200 OK\r\netag: 7\r\ncontent-length: 0\r\n\r\n",
+            malformed("no version in the entity tag Some(\"7\")"),
+        ),
+        (
+            "HTTP/1.1 200 OK\r\netag: \"x\"\r\ncontent-length: 0\r\n\r\n",
+            malformed("no version in the entity tag Some(\"\\\"x\\\"\")"),
+        ),
+    ];
+    for (answer, error) in table {
+        let (addr, _requests) = canned(answer).await?;
+        let platform = HttpPlatform::new(addr).with_timeout(TIMEOUT);
+        let outcome = platform.put(&key(), Body::from("{}"), Expect::Absent).await;
+        match error {
+            None => expect_that!(outcome, ok(eq(&Version::new(7))), "{answer}"),
+            Some(error) => expect_that!(outcome, err(eq(&error)), "{answer}"),
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_that_breaks_or_never_comes_is_unavailable() -> Result<()> {
+    let table = [
+        ("closed", ""),
+        ("no http", "nonsense\r\n\r\n"),
+        ("cut head", "HTTP/1.1 200 OK\r\netag: \"7\""),
+        (
+            "cut body",
+            "HTTP/1.1 200 OK\r\netag: \"7\"\r\ncontent-length: 9\r\n\r\n{}",
+        ),
+    ];
+    for (name, answer) in table {
+        let (addr, _requests) = canned(answer).await?;
+        let platform = HttpPlatform::new(addr).with_timeout(TIMEOUT);
+        let outcome = platform.get(&key()).await;
+        expect_that!(
+            outcome,
+            err(matches_pattern!(Error::Unavailable(_))),
+            "{name}"
+        );
+    }
+    // Accepts connections in its backlog and never answers.
+    let silent = TcpListener::bind("127.0.0.1:0").await?;
+    let platform = HttpPlatform::new(silent.local_addr()?).with_timeout(SHORT_TIMEOUT);
+    let timeout = Error::Unavailable("timeout after 50 ms".into());
+    expect_that!(platform.vms().await, err(eq(&timeout)));
+    let platform = HttpPlatform::new(CLOSED).with_timeout(TIMEOUT);
+    expect_that!(
+        platform.get(&key()).await,
+        err(matches_pattern!(Error::Unavailable(_)))
+    );
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_value_over_the_limit_is_refused_before_it_is_sent() -> Result<()> {
+    let (addr, mut requests) = canned("HTTP/1.1 500 I\r\ncontent-length: 0\r\n\r\n").await?;
+    let platform = HttpPlatform::new(addr).with_timeout(TIMEOUT);
+    let size = MAX_VALUE + ByteSize::new(1);
+    let body = Body::from("x".repeat(size.get() as usize));
+    let outcome = platform.put(&key(), body, Expect::Absent).await;
+    expect_that!(outcome, err(eq(&Error::TooLarge(size))));
+    expect_that!(requests.try_recv().is_err(), eq(true));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn requests_have_the_documented_form() -> Result<()> {
+    const EMPTY: &str = "HTTP/1.1 200 OK\r\netag: \"7\"\r\ncontent-length: 2\r\n\r\n[]";
+    let (addr, mut requests) = canned(EMPTY).await?;
+    let platform = HttpPlatform::new(addr).with_timeout(TIMEOUT);
+    let odd = ObjectKey::new(Kind::Member, "a/b?c d");
+    platform
+        .put(&key(), Body::from("{}"), Expect::Absent)
+        .await?;
+    let text = requests.recv().await.or_fail()?;
+    expect_that!(
+        text,
+        starts_with("PUT /v1/objects/budget/shard-1 HTTP/1.1\r\n")
+    );
+    expect_that!(
+        text.to_lowercase(),
+        contains_substring("if-none-match: *\r\n")
+    );
+    platform.delete(&odd, Version::new(3)).await?;
+    let text = requests.recv().await.or_fail()?;
+    expect_that!(
+        text,
+        starts_with("DELETE /v1/objects/member/a%2Fb%3Fc%20d HTTP/1.1\r\n")
+    );
+    expect_that!(
+        text.to_lowercase(),
+        contains_substring("if-match: \"3\"\r\n")
+    );
+    platform.list(Kind::Segment, "vm&x=").await?;
+    let text = requests.recv().await.or_fail()?;
+    expect_that!(
+        text,
+        starts_with("GET /v1/objects/segment?prefix=vm%26x%3D HTTP/1.1\r\n")
+    );
+    let (since, wait) = (Version::new(4), Millis::new(9));
+    platform.watch(Kind::Config, "head", since, wait).await?;
+    let text = requests.recv().await.or_fail()?;
+    let form = "GET /v1/watch/config?prefix=head&since=4&wait_ms=9 HTTP/1.1\r\n";
+    expect_that!(text, starts_with(form));
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,142 @@
+//! A small HTTP client for tests, which keeps what arrived of an answer that broke.
+
+use std::{fmt, net::SocketAddr};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt as _, Full};
+use hyper_util::{
+    client::legacy::{Client as HyperClient, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Why there was no answer at all.
+#[derive(Debug)]
+pub enum Error {
+    /// The request could not be formed.
+    Request(http::Error),
+    /// No head of an answer came.
+    NoAnswer(hyper_util::client::legacy::Error),
+    /// The JSON of request or answer is wrong.
+    Json(serde_json::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(e) => write!(f, "the request cannot be formed: {e}"),
+            Self::NoAnswer(e) => write!(f, "no answer: {e}"),
+            Self::Json(e) => write!(f, "wrong JSON: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<http::Error> for Error {
+    fn from(error: http::Error) -> Self {
+        Self::Request(error)
+    }
+}
+
+impl From<serde_json::Error> for Error {
+    fn from(error: serde_json::Error) -> Self {
+        Self::Json(error)
+    }
+}
+
+/// An answer as far as it arrived.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub text: String,
+    /// False if the connection broke within the body.
+    pub complete: bool,
+}
+
+impl Answer {
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    /// If it is not of that form.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        Ok(serde_json::from_str(&self.text)?)
+    }
+}
+
+/// A client of one server.
+#[derive(Debug, Clone)]
+pub struct Client {
+    addr: SocketAddr,
+    client: HyperClient<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Creates a client of the server at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            client: HyperClient::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    /// Sends a request without a body.
+    ///
+    /// # Errors
+    /// If no head of an answer comes.
+    pub async fn get(&self, path: &str) -> Result<Answer, Error> {
+        self.send(Method::GET, path, &[], Bytes::new()).await
+    }
+
+    /// Sends `body` as JSON.
+    ///
+    /// # Errors
+    /// If no head of an answer comes.
+    pub async fn send_json(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<Answer, Error> {
+        let body = serde_json::to_vec(body)?;
+        self.send(method, path, &[], body.into()).await
+    }
+
+    /// Sends a request with further headers and reads what arrives of its answer.
+    ///
+    /// # Errors
+    /// If no head of an answer comes.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Answer, Error> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.addr))
+            .header(CONTENT_TYPE, "application/json");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let answer = self.client.request(req.body(Full::new(body))?).await;
+        let (head, mut body) = answer.map_err(Error::NoAnswer)?.into_parts();
+        let mut buf = Vec::new();
+        let complete = loop {
+            match body.frame().await {
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(frame)) => buf.extend(frame.into_data().unwrap_or_default()),
+            }
+        };
+        Ok(Answer {
+            status: head.status,
+            text: String::from_utf8_lossy(&buf).into_owned(),
+            complete,
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,187 @@
+//! A [`Store`] over HTTP, in the forms that `docs/INTERFACES.md` gives.
+
+use axum::{
+    Json, Router,
+    extract::{DefaultBodyLimit, Path, Query, State},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use bytes::Bytes;
+use cyc_platform::{
+    Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Platform as _, Result, Vm,
+    wire::{ChangeItem, ListItem, ListQuery, PermitReply, PermitRequest, WatchQuery},
+};
+use cyc_types::{Millis, Version};
+use http::{
+    HeaderMap, StatusCode,
+    header::{ETAG, IF_MATCH, IF_NONE_MATCH},
+};
+
+use crate::store::{Counters, Faults, Store};
+
+/// Returns the routes that serve `store`.
+pub fn router(store: Store) -> Router {
+    let object = get(get_object).put(put_object).delete(delete_object);
+    Router::new()
+        .route("/v1/objects/{kind}/{name}", object)
+        .route("/v1/objects/{kind}", get(list_objects))
+        .route("/v1/watch/{kind}", get(watch_objects))
+        .route("/v1/vms", get(list_vms))
+        .route("/v1/weights/permit", post(permit_weights))
+        .route("/admin/counters", get(counters))
+        .route("/admin/faults", get(faults).put(set_faults))
+        .route("/admin/vms", axum::routing::put(set_vms))
+        .layer(DefaultBodyLimit::max(MAX_VALUE.get() as usize))
+        .with_state(store)
+}
+
+/// An error of the store as an answer.
+struct Failure(Error);
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        Self(error)
+    }
+}
+
+impl IntoResponse for Failure {
+    fn into_response(self) -> Response {
+        let status = match self.0 {
+            Error::Conflict => StatusCode::PRECONDITION_FAILED,
+            Error::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Error::Throttled => StatusCode::TOO_MANY_REQUESTS,
+            Error::Malformed(_) => StatusCode::BAD_REQUEST,
+        };
+        (status, self.0.to_string()).into_response()
+    }
+}
+
+type Answer<T = Response> = std::result::Result<T, Failure>;
+
+fn parse_kind(text: &str) -> Result<Kind> {
+    let wrong = |_| Error::Malformed(format!("no kind `{text}`"));
+    text.parse().map_err(wrong)
+}
+
+fn parse_key((kind, name): (String, String)) -> Result<ObjectKey> {
+    Ok(ObjectKey::new(parse_kind(&kind)?, name))
+}
+
+fn etag(version: Version) -> [(http::HeaderName, String); 1] {
+    [(ETAG, format!("\"{version}\""))]
+}
+
+fn parse_version(headers: &HeaderMap) -> Result<Option<Version>> {
+    let Some(value) = headers.get(IF_MATCH) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let version = text.trim_matches('"').parse();
+    version
+        .map(Some)
+        .map_err(|_| Error::Malformed(format!("`{text}` is not an entity tag")))
+}
+
+fn parse_expect(headers: &HeaderMap) -> Result<Expect> {
+    if let Some(version) = parse_version(headers)? {
+        return Ok(Expect::Version(version));
+    }
+    match headers.get(IF_NONE_MATCH) {
+        Some(value) if value == "*" => Ok(Expect::Absent),
+        _ => Err(Error::Malformed("a write needs a condition".into())),
+    }
+}
+
+async fn get_object(State(store): State<Store>, Path(path): Path<(String, String)>) -> Answer {
+    let found = store.get(&parse_key(path)?).await?;
+    Ok(match found {
+        Some(object) => (etag(object.version), object.body).into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    })
+}
+
+async fn put_object(
+    State(store): State<Store>,
+    Path(path): Path<(String, String)>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    let expect = parse_expect(&headers)?;
+    let version = store.put(&parse_key(path)?, body, expect).await?;
+    Ok((etag(version), StatusCode::OK).into_response())
+}
+
+async fn delete_object(
+    State(store): State<Store>,
+    Path(path): Path<(String, String)>,
+    headers: HeaderMap,
+) -> Answer {
+    let wrong = || Error::Malformed("a delete needs a version".into());
+    let version = parse_version(&headers)?.ok_or_else(wrong)?;
+    store.delete(&parse_key(path)?, version).await?;
+    Ok(StatusCode::NO_CONTENT.into_response())
+}
+
+async fn list_objects(
+    State(store): State<Store>,
+    Path(kind): Path<String>,
+    Query(query): Query<ListQuery>,
+) -> Answer<Json<Vec<ListItem>>> {
+    let objects = store.list(parse_kind(&kind)?, &query.prefix).await?;
+    let item = |object: Object| ListItem {
+        name: object.key.name,
+        version: object.version,
+        body: String::from_utf8_lossy(&object.body).into_owned(),
+    };
+    Ok(Json(objects.into_iter().map(item).collect()))
+}
+
+async fn watch_objects(
+    State(store): State<Store>,
+    Path(kind): Path<String>,
+    Query(query): Query<WatchQuery>,
+) -> Answer<Json<Vec<ChangeItem>>> {
+    let kind = parse_kind(&kind)?;
+    let changes = store
+        .watch(kind, &query.prefix, query.since, query.wait_ms)
+        .await?;
+    let item = |change: cyc_platform::Change| ChangeItem {
+        name: change.key.name,
+        version: change.version,
+        deleted: change.deleted,
+    };
+    Ok(Json(changes.into_iter().map(item).collect()))
+}
+
+async fn list_vms(State(store): State<Store>) -> Answer<Json<Vec<Vm>>> {
+    Ok(Json(store.vms().await?))
+}
+
+async fn permit_weights(
+    State(store): State<Store>,
+    Json(req): Json<PermitRequest>,
+) -> Answer<Json<PermitReply>> {
+    let wait = store.weight_permit(req.bytes).await?;
+    Ok(Json(PermitReply {
+        wait_ms: wait.unwrap_or(Millis::ZERO),
+    }))
+}
+
+async fn counters(State(store): State<Store>) -> Json<Counters> {
+    Json(store.counters())
+}
+
+async fn faults(State(store): State<Store>) -> Json<Faults> {
+    Json(store.faults())
+}
+
+async fn set_faults(State(store): State<Store>, Json(faults): Json<Faults>) -> Json<Faults> {
+    store.set_faults(faults);
+    Json(store.faults())
+}
+
+async fn set_vms(State(store): State<Store>, Json(vms): Json<Vec<Vm>>) -> StatusCode {
+    store.set_vms(vms);
+    StatusCode::NO_CONTENT
+}
--- /dev/null
+++ b/crates/standin/src/store/objects.rs
@@ -0,0 +1,99 @@
+//! The objects with their versions and their latest changes.
+
+use std::collections::BTreeMap;
+
+use cyc_platform::{Body, Change, Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Result};
+use cyc_types::{ByteSize, Version};
+
+/// All objects. Nothing here waits or fails by itself.
+#[derive(Debug, Default)]
+pub(super) struct Objects {
+    /// The version of the last change; all objects share one counter.
+    last: Version,
+    live: BTreeMap<ObjectKey, (Version, Body)>,
+    /// The latest change of each object that ever existed.
+    changes: BTreeMap<Version, Change>,
+    /// Where the latest change of each object stands in `changes`.
+    changed_at: BTreeMap<ObjectKey, Version>,
+}
+
+impl Objects {
+    pub(super) fn get(&self, key: &ObjectKey) -> Option<Object> {
+        let (version, body) = self.live.get(key)?;
+        Some(Object {
+            key: key.clone(),
+            version: *version,
+            body: body.clone(),
+        })
+    }
+
+    pub(super) fn put(&mut self, key: &ObjectKey, body: Body, expect: Expect) -> Result<Version> {
+        let size = ByteSize::new(body.len() as u64);
+        if size > MAX_VALUE {
+            return Err(Error::TooLarge(size));
+        }
+        if std::str::from_utf8(&body).is_err() {
+            return Err(Error::Malformed("the value is not UTF-8".into()));
+        }
+        let found = self.live.get(key).map(|(version, _)| *version);
+        let holds = match expect {
+            Expect::Absent => found.is_none(),
+            Expect::Version(version) => found == Some(version),
+        };
+        if !holds {
+            return Err(Error::Conflict);
+        }
+        let version = self.record(key, false);
+        self.live.insert(key.clone(), (version, body));
+        Ok(version)
+    }
+
+    pub(super) fn delete(&mut self, key: &ObjectKey, version: Version) -> Result<()> {
+        match self.live.get(key) {
+            Some((found, _)) if *found == version => {}
+            _ => return Err(Error::Conflict),
+        }
+        self.live.remove(key);
+        self.record(key, true);
+        Ok(())
+    }
+
+    pub(super) fn list(&self, kind: Kind, prefix: &str) -> Vec<Object> {
+        let from = ObjectKey::new(kind, prefix);
+        let in_prefix = |key: &ObjectKey| key.kind == kind && key.name.starts_with(prefix);
+        self.live
+            .range(from..)
+            .take_while(|(key, _)| in_prefix(key))
+            .map(|(key, (version, body))| Object {
+                key: key.clone(),
+                version: *version,
+                body: body.clone(),
+            })
+            .collect()
+    }
+
+    /// Returns the latest change of each object that changed after `since`, oldest first.
+    pub(super) fn changes(&self, kind: Kind, prefix: &str, since: Version) -> Vec<Change> {
+        self.changes
+            .range(since + Version::new(1)..)
+            .map(|(_, change)| change)
+            .filter(|change| change.key.kind == kind && change.key.name.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    fn record(&mut self, key: &ObjectKey, deleted: bool) -> Version {
+        self.last += Version::new(1);
+        let version = self.last;
+        if let Some(old) = self.changed_at.insert(key.clone(), version) {
+            self.changes.remove(&old);
+        }
+        let change = Change {
+            key: key.clone(),
+            version,
+            deleted,
+        };
+        self.changes.insert(version, change);
+        version
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/standin/platform.rs
@@ -0,0 +1,445 @@
+//! The platform's contract, in process and over HTTP with the same table.
+
+use cyc_platform::{
+    Body, Change, Error, Expect, HttpPlatform, Kind, MAX_VALUE, Object, ObjectKey, Platform, Vm,
+    VmState,
+};
+use cyc_standin::{
+    platform,
+    serve::Server,
+    store::{Faults, LostAnswers, Operation, Store},
+};
+use cyc_types::{ByteSize, Clock, Millis, Version};
+use googletest::prelude::*;
+
+const TIMEOUT: Millis = Millis::new(10_000);
+const LONG_WAIT: Millis = Millis::new(5_000);
+
+/// A store with both ways to it.
+struct Bench {
+    store: Store,
+    platforms: [(&'static str, Box<dyn Platform>); 2],
+    _server: Server,
+}
+
+async fn bench(store: Store) -> std::io::Result<Bench> {
+    let server = Server::start(platform::router(store.clone())).await?;
+    let http = HttpPlatform::new(server.addr()).with_timeout(TIMEOUT);
+    Ok(Bench {
+        platforms: [
+            ("in process", Box::new(store.clone())),
+            ("http", Box::new(http)),
+        ],
+        store,
+        _server: server,
+    })
+}
+
+fn key(name: &str) -> ObjectKey {
+    ObjectKey::new(Kind::Budget, name)
+}
+
+fn body(text: &str) -> Body {
+    Body::from(text.to_owned())
+}
+
+fn vm(name: &str) -> Result<Vm> {
+    Ok(Vm {
+        id: name.parse()?,
+        zone: "almaty-a".parse()?,
+        ip: [127, 0, 0, 1].into(),
+        state: VmState::Live,
+    })
+}
+
+#[gtest]
+#[tokio::test]
+async fn writes_take_effect_only_under_their_condition() -> Result<()> {
+    let bench = bench(Store::new()).await?;
+    for (way, platform) in &bench.platforms {
+        let key = key(&format!("shard-{}", way.replace(' ', "-")));
+        let absent = Expect::Absent;
+        expect_that!(platform.get(&key).await, ok(none()), "{way}");
+        let first = platform.put(&key, body("{\"a\":1}"), absent).await?;
+        let again = platform.put(&key, body("{}"), absent).await;
+        expect_that!(again, err(eq(&Error::Conflict)), "{way}");
+        let second = platform
+            .put(&key, body("{\"a\":2}"), Expect::Version(first))
+            .await?;
+        expect_that!(second, gt(first), "{way}");
+        let stale = platform.put(&key, body("{}"), Expect::Version(first)).await;
+        expect_that!(stale, err(eq(&Error::Conflict)), "{way}");
+        let object = Object {
+            key: key.clone(),
+            version: second,
+            body: body("{\"a\":2}"),
+        };
+        expect_that!(platform.get(&key).await, ok(some(eq(&object))), "{way}");
+        let stale = platform.delete(&key, first).await;
+        expect_that!(stale, err(eq(&Error::Conflict)), "{way}");
+        platform.delete(&key, second).await?;
+        let again = platform.delete(&key, second).await;
+        expect_that!(again, err(eq(&Error::Conflict)), "{way}");
+        let gone = platform
+            .put(&key, body("{}"), Expect::Version(second))
+            .await;
+        expect_that!(gone, err(eq(&Error::Conflict)), "{way}");
+        expect_that!(platform.get(&key).await, ok(none()), "{way}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn values_up_to_the_limit_are_kept_and_no_others() -> Result<()> {
+    let bench = bench(Store::new()).await?;
+    let limit = MAX_VALUE.get() as usize;
+    for (way, platform) in &bench.platforms {
+        let key = key(&format!("large-{}", way.replace(' ', "-")));
+        let large = platform.put(&key, body(&"x".repeat(limit + 1)), Expect::Absent);
+        let size = MAX_VALUE + ByteSize::new(1);
+        expect_that!(large.await, err(eq(&Error::TooLarge(size))), "{way}");
+        let binary = platform.put(&key, Body::from(vec![0xff]), Expect::Absent);
+        expect_that!(
+            binary.await,
+            err(matches_pattern!(Error::Malformed(_))),
+            "{way}"
+        );
+        expect_that!(platform.get(&key).await, ok(none()), "{way}");
+        platform
+            .put(&key, body(&"x".repeat(limit)), Expect::Absent)
+            .await?;
+        let read = platform.get(&key).await?.or_fail()?;
+        expect_that!(read.body.len(), eq(limit), "{way}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn lists_hold_one_kind_and_prefix_in_order() -> Result<()> {
+    let bench = bench(Store::new()).await?;
+    for name in ["b-2", "a-1", "b-1", "b-10", "c"] {
+        bench
+            .store
+            .put(&key(name), body("{}"), Expect::Absent)
+            .await?;
+    }
+    let other = ObjectKey::new(Kind::Claim, "b-9");
+    bench.store.put(&other, body("{}"), Expect::Absent).await?;
+    for (way, platform) in &bench.platforms {
+        for (prefix, want) in [
+            ("b-", vec!["b-1", "b-10", "b-2"]),
+            ("", vec!["a-1", "b-1", "b-10", "b-2", "c"]),
+            ("x", vec![]),
+            ("c", vec!["c"]),
+        ] {
+            let objects = platform.list(Kind::Budget, prefix).await?;
+            let names: Vec<_> = objects.iter().map(|o| o.key.name.as_str()).collect();
+            expect_that!(names, eq(&want), "{way} {prefix}");
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn watches_report_the_latest_change_of_each_object() -> Result<()> {
+    let bench = bench(Store::new()).await?;
+    let store = &bench.store;
+    let one = store.put(&key("w-1"), body("{}"), Expect::Absent).await?;
+    let two = store.put(&key("w-2"), body("{}"), Expect::Absent).await?;
+    store.put(&key("x"), body("{}"), Expect::Absent).await?;
+    let three = store
+        .put(&key("w-1"), body("{}"), Expect::Version(one))
+        .await?;
+    store.delete(&key("w-2"), two).await?;
+    let four = three + Version::new(1);
+    let change = |name: &str, version, deleted| Change {
+        key: key(name),
+        version,
+        deleted,
+    };
+    for (way, platform) in &bench.platforms {
+        for (since, want) in [
+            (
+                Version::ZERO,
+                vec![change("w-1", three, false), change("w-2", four, true)],
+            ),
+            (three, vec![change("w-2", four, true)]),
+        ] {
+            let changes = platform.watch(Kind::Budget, "w-", since, LONG_WAIT).await?;
+            expect_that!(changes, eq(&want), "{way} {since}");
+        }
+        let none = platform
+            .watch(Kind::Budget, "w-", four, Millis::new(1))
+            .await?;
+        expect_that!(none, is_empty(), "{way}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_waiting_watch_ends_with_a_change_or_an_outage() -> Result<()> {
+    let bench = bench(Store::new()).await?;
+    let store = &bench.store;
+    for (number, (way, platform)) in bench.platforms.iter().enumerate() {
+        let prefix = format!("late-{number}");
+        let name = key(&prefix);
+        // The write starts once the watch has arrived, which the counters show.
+        let before = store.counters().calls(Operation::Watch, Some(Kind::Budget));
+        let arrived = async {
+            while store.counters().calls(Operation::Watch, Some(Kind::Budget)) == before {
+                tokio::task::yield_now().await;
+            }
+            store.put(&name, body("{}"), Expect::Absent).await
+        };
+        let watch = platform.watch(Kind::Budget, &prefix, Version::ZERO, LONG_WAIT);
+        let (changes, version) = tokio::join!(watch, arrived);
+        let versions: Vec<_> = changes?.iter().map(|change| change.version).collect();
+        expect_that!(versions, eq(&vec![version?]), "{way}");
+
+        let before = store.counters().calls(Operation::Watch, Some(Kind::Budget));
+        let outage = async {
+            while store.counters().calls(Operation::Watch, Some(Kind::Budget)) == before {
+                tokio::task::yield_now().await;
+            }
+            store.set_faults(Faults {
+                outage: true,
+                ..Faults::default()
+            });
+        };
+        let watch = platform.watch(Kind::Claim, "", Version::ZERO, LONG_WAIT);
+        let budget = platform.watch(Kind::Budget, "none", Version::ZERO, LONG_WAIT);
+        let (claim, budget, ()) = tokio::join!(watch, budget, outage);
+        for outcome in [claim, budget] {
+            expect_that!(
+                outcome,
+                err(matches_pattern!(Error::Unavailable(_))),
+                "{way}"
+            );
+        }
+        store.set_faults(Faults::default());
+    }
+    Ok(())
+}
+
+/// What a put under a fault answers, and whether it has taken effect all the same.
+#[gtest]
+#[tokio::test]
+async fn faults_have_the_effect_that_their_error_tells() -> Result<()> {
+    let bench = bench(Store::new()).await?;
+    let lost = |lost| Faults {
+        lost,
+        ..Faults::default()
+    };
+    let outage = Error::Unavailable(String::new());
+    let table = [
+        ("none", Faults::default(), None, true),
+        (
+            "outage",
+            Faults {
+                outage: true,
+                ..Faults::default()
+            },
+            Some(&outage),
+            false,
+        ),
+        (
+            "throttle",
+            Faults {
+                throttle: true,
+                ..Faults::default()
+            },
+            Some(&Error::Throttled),
+            false,
+        ),
+        (
+            "every call",
+            lost(LostAnswers::EveryCall),
+            Some(&outage),
+            true,
+        ),
+        (
+            "every write",
+            lost(LostAnswers::EveryWrite),
+            Some(&outage),
+            true,
+        ),
+        (
+            "first",
+            lost(LostAnswers::FirstWrites(1)),
+            Some(&outage),
+            true,
+        ),
+        (
+            "second only",
+            lost(LostAnswers::EveryNthWrite(2)),
+            None,
+            true,
+        ),
+        (
+            "slow",
+            Faults {
+                slow: Millis::new(1),
+                ..Faults::default()
+            },
+            None,
+            true,
+        ),
+        (
+            "other kind",
+            Faults {
+                lost_kind: Some(Kind::Claim),
+                ..lost(LostAnswers::EveryCall)
+            },
+            None,
+            true,
+        ),
+        (
+            "other prefix",
+            Faults {
+                lost_prefix: "x".into(),
+                ..lost(LostAnswers::EveryCall)
+            },
+            None,
+            true,
+        ),
+    ];
+    for (name, faults, error, effect) in table {
+        for (number, (way, platform)) in bench.platforms.iter().enumerate() {
+            let key = key(&format!("{}-{number}", name.replace(' ', "-")));
+            bench.store.set_faults(faults.clone());
+            let outcome = platform.put(&key, body("{}"), Expect::Absent).await;
+            bench.store.set_faults(Faults::default());
+            match (error, outcome) {
+                (None, Ok(_)) => {}
+                (Some(Error::Unavailable(_)), Err(Error::Unavailable(_))) => {}
+                (want, got) => expect_that!(got.err().as_ref(), eq(want), "{name} {way}"),
+            }
+            let found = bench.store.peek(&key).is_some();
+            expect_that!(found, eq(effect), "{name} {way}");
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_same_writes_lose_their_answers_with_the_same_seed() -> Result<()> {
+    let mut rounds = Vec::new();
+    for _ in 0..2 {
+        let store = Store::new();
+        store.set_faults(Faults {
+            lost: LostAnswers::Random {
+                probability: 0.5,
+                seed: 11,
+            },
+            ..Faults::default()
+        });
+        let mut lost = Vec::new();
+        for number in 0..64 {
+            let outcome = store
+                .put(&key(&format!("{number}")), body("{}"), Expect::Absent)
+                .await;
+            lost.push(outcome.is_err());
+        }
+        expect_that!(store.peek_list(Kind::Budget, "").len(), eq(64));
+        rounds.push(lost);
+    }
+    expect_that!(rounds[0], eq(&rounds[1]));
+    expect_that!(rounds[0], contains(eq(&true)));
+    expect_that!(rounds[0], contains(eq(&false)));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_slow_write_takes_effect_after_its_caller_has_given_up() -> Result<()> {
+    let bench = bench(Store::new()).await?;
+    let store = bench.store.clone();
+    store.set_faults(Faults {
+        slow: Millis::new(50),
+        ..Faults::default()
+    });
+    for (number, (way, platform)) in bench.platforms.into_iter().enumerate() {
+        let before = store.counters().writes();
+        let name = key(&format!("late-{number}"));
+        let put = {
+            let name = name.clone();
+            tokio::spawn(async move { platform.put(&name, body("{}"), Expect::Absent).await })
+        };
+        while store.counters().writes() == before {
+            tokio::task::yield_now().await;
+        }
+        put.abort();
+        let watch = store.watch(Kind::Budget, &name.name, Version::ZERO, LONG_WAIT);
+        expect_that!(watch.await?.len(), eq(1), "{way}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_vm_list_lags_and_the_weight_store_has_a_rate() -> Result<()> {
+    let clock = Clock::new_manual(Millis::new(1_000));
+    let store = Store::new()
+        .with_clock(clock.clone())
+        .with_weight_rate(ByteSize::new(1_000));
+    let bench = bench(store).await?;
+    let lag = Millis::new(500);
+    bench.store.set_faults(Faults {
+        vm_lag: lag,
+        ..Faults::default()
+    });
+    for (number, (way, platform)) in bench.platforms.iter().enumerate() {
+        let before = platform.vms().await?;
+        let after = vec![vm(&format!("vm-{number}"))?];
+        bench.store.set_vms(after.clone());
+        clock.advance(Millis::new(499));
+        expect_that!(platform.vms().await?, eq(&before), "{way}");
+        clock.advance(Millis::new(1));
+        expect_that!(platform.vms().await?, eq(&after), "{way}");
+
+        let bytes = ByteSize::new(2_000);
+        expect_that!(platform.weight_permit(bytes).await?, none(), "{way}");
+        clock.advance(Millis::new(500));
+        let wait = Millis::new(1_500);
+        expect_that!(
+            platform.weight_permit(bytes).await?,
+            some(eq(wait)),
+            "{way}"
+        );
+        clock.advance(wait);
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn calls_are_counted_by_operation_and_kind() -> Result<()> {
+    let bench = bench(Store::new()).await?;
+    for (_, platform) in &bench.platforms {
+        let _ = platform.get(&key("a")).await?;
+        let _ = platform.put(&key("a"), body("{}"), Expect::Absent).await;
+        let _ = platform.list(Kind::Claim, "").await?;
+        let _ = platform.vms().await?;
+        let _ = platform
+            .watch(Kind::Budget, "none", Version::ZERO, Millis::new(1))
+            .await?;
+    }
+    let counters = bench.store.counters();
+    expect_that!(counters.calls(Operation::Get, Some(Kind::Budget)), eq(2));
+    expect_that!(counters.calls(Operation::Put, Some(Kind::Budget)), eq(2));
+    expect_that!(counters.calls(Operation::List, Some(Kind::Claim)), eq(2));
+    expect_that!(counters.calls(Operation::Vms, None), eq(2));
+    expect_that!(counters.calls(Operation::Watch, Some(Kind::Budget)), eq(2));
+    expect_that!((counters.writes(), counters.reads()), eq((2, 8)));
+    let put = counters
+        .rows
+        .iter()
+        .find(|row| row.operation == Operation::Put);
+    expect_that!(put.map(|row| row.failed), some(eq(1)));
+    Ok(())
+}
