Add receipt segments and the controller that flushes them

Cause: receipts have to last before the sidecars may drop them, and each may be billed once. Ruled out: a new sequence after a lost answer; it would bill the segment twice. The same value is written again under the same name, and a conflict is judged by comparing the values. Change: crate ledger with segments split by bytes and the flush controller. A segment of another writer under our own name means that this incarnation was fenced. Before and after: none before; 4 tests pass, with lost, delayed and unanswered writes.

--- /dev/null
+++ b/crates/ledger/tests/ledger.rs
@@ -0,0 +1,86 @@
+//! Tests of the ledger: segments, flush, merge, reclaim and report.
+
+#[path = "../../budget/tests/budget/fake.rs"]
+mod fake;
+#[path = "ledger/flush.rs"]
+mod flush;
+
+use std::sync::Arc;
+
+use cyc_budget::{
+    Keeper, Payment, Purse, Record, Shard, keeper, shard::shard_key, shard_of, top_up,
+};
+use cyc_proto::{GrantId, Receipt};
+use cyc_types::{BudgetId, Clock, Incarnation, Millis, RequestId, Tokens};
+use fake::Fake;
+
+const SHARDS: u32 = 4;
+const PATIENCE: Millis = Millis::new(60_000);
+
+fn budget() -> BudgetId {
+    "league".parse().unwrap()
+}
+
+fn entry(number: u64) -> Incarnation {
+    Incarnation::new("entry-a".parse().unwrap(), number)
+}
+
+fn grant(number: u64) -> GrantId {
+    GrantId {
+        budget: budget(),
+        holder: entry(number),
+    }
+}
+
+/// A receipt of `writer` that the grant of `holder` pays.
+fn receipt(request: u128, writer: u64, holder: u64, tokens: u64) -> Receipt {
+    Receipt {
+        request: RequestId::new(request),
+        account: "dala".parse().unwrap(),
+        grant: grant(holder),
+        entry: entry(writer),
+        service: "drafts".parse().unwrap(),
+        tokens: Tokens::new(tokens),
+        at: Millis::ZERO,
+    }
+}
+
+async fn pay(fake: &Fake, id: &str, tokens: u64) {
+    let payment = Payment {
+        budget: budget(),
+        account: "dala".parse().unwrap(),
+        id: id.into(),
+        tokens: Tokens::new(tokens),
+        at: Millis::ZERO,
+    };
+    top_up(fake, SHARDS, payment).await.unwrap();
+}
+
+/// A clock that follows the runtime's paused time.
+fn runtime_clock() -> Clock {
+    const STEP: Millis = Millis::new(20);
+    let clock = Clock::new_manual(Millis::ZERO);
+    let moved = clock.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(STEP.duration()).await;
+            moved.advance(STEP);
+        }
+    });
+    clock
+}
+
+fn purse(fake: &Arc<Fake>, number: u64, clock: &Clock) -> Purse {
+    let options = keeper::Options {
+        shards: SHARDS,
+        ..keeper::Options::default()
+    };
+    let (purse, keeper) = Keeper::new(fake.clone(), entry(number), clock.clone(), options);
+    tokio::spawn(keeper.run());
+    purse
+}
+
+fn record(fake: &Fake) -> Record {
+    let body = fake.read(&shard_key(shard_of(&budget(), SHARDS))).unwrap();
+    Shard::decode(&body).unwrap().budgets[&budget()].clone()
+}
--- /dev/null
+++ b/crates/ledger/tests/ledger/flush.rs
@@ -0,0 +1,129 @@
+//! Segments and the controller that writes them, under the platform's faults.
+
+use cyc_ledger::{
+    Billed, Flusher, Ledger, Segment, flush,
+    segment::{self, MAX_SEGMENT_BYTES},
+};
+use cyc_platform::{Expect, Kind, Platform as _};
+use cyc_types::ErrorKind;
+use googletest::prelude::*;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::{fake::Fault, *};
+
+type Released = UnboundedReceiver<Vec<RequestId>>;
+
+async fn start(fake: &Arc<Fake>, max_unflushed: usize) -> Result<(Purse, Ledger, Released)> {
+    pay(fake, "first", 1_000).await;
+    let clock = runtime_clock();
+    let purse = purse(fake, 1, &clock);
+    let options = flush::Options {
+        max_unflushed,
+        ..flush::Options::default()
+    };
+    let (ledger, flusher, released) =
+        Flusher::new(fake.clone(), purse.clone(), entry(1), clock, options);
+    let reservation = purse.reserve(&budget(), Tokens::new(500), PATIENCE).await?;
+    purse.settle(reservation, Tokens::new(500));
+    tokio::spawn(flusher.run());
+    Ok((purse, ledger, released))
+}
+
+async fn segments(fake: &Fake) -> Result<Vec<Segment>> {
+    let objects = fake.list(Kind::Segment, "").await?;
+    let segments = objects.iter().map(|o| Ok(Segment::decode(&o.body)?));
+    segments.collect()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn each_receipt_is_in_one_segment_and_settled_once_under_every_fault() -> Result<()> {
+    use Fault::{AnswerLost, Delayed, Lost, None};
+    let scripts: &[&[Fault]] = &[
+        &[None, None],
+        &[AnswerLost, AnswerLost],
+        &[Lost, AnswerLost, Lost, AnswerLost],
+        &[Delayed, None, Delayed, None],
+    ];
+    for script in scripts {
+        let fake = Arc::new(Fake::default());
+        let (_purse, ledger, mut released) = start(&fake, 10).await?;
+        fake.script(script);
+        expect_that!(ledger.bill(receipt(1, 1, 1, 30)), eq(Billed::Taken));
+        expect_that!(ledger.bill(receipt(1, 1, 1, 31)), eq(Billed::Duplicate));
+        expect_that!(ledger.bill(receipt(2, 2, 1, 32)), eq(Billed::NotOurs));
+        ledger.refuse(&budget(), ErrorKind::Overloaded, Tokens::new(9), true);
+        ledger.refuse(&budget(), ErrorKind::Overloaded, Tokens::new(9), true);
+        let first = released.recv().await;
+        expect_that!(first, some(eq(&vec![RequestId::new(1)])), "{script:?}");
+        fake.deliver();
+        expect_that!(ledger.bill(receipt(1, 1, 1, 31)), eq(Billed::Duplicate));
+        expect_that!(released.recv().await, some(anything()));
+        let status = ledger.close(PATIENCE).await;
+        expect_that!(status, eq(&flush::Status::default()), "{script:?}");
+        let segments = segments(&fake).await?;
+        expect_that!(segments, len(eq(1)), "{script:?}");
+        expect_that!(segments[0].receipts, eq(&vec![receipt(1, 1, 1, 30)]));
+        expect_that!(segments[0].refusals[0].requests, eq(2));
+        expect_that!(record(&fake).settled, eq(Tokens::new(30)), "{script:?}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_outage_loses_nothing_and_the_backlog_is_bounded() -> Result<()> {
+    let fake = Arc::new(Fake::default());
+    let (_purse, ledger, mut released) = start(&fake, 3).await?;
+    fake.set_out(true);
+    for request in 1..=4 {
+        expect_that!(ledger.has_room(), eq(request < 4));
+        ledger.bill(receipt(request, 1, 1, 10));
+    }
+    let status = ledger.close(Millis::SECOND).await;
+    expect_that!(status.unflushed + status.unsettled, eq(4));
+    fake.set_out(false);
+    let mut count = 0;
+    while count < 4 {
+        count += released.recv().await.or_fail()?.len();
+    }
+    expect_that!(record(&fake).settled, eq(Tokens::new(40)));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_segment_of_another_writer_under_our_name_fences_us() -> Result<()> {
+    let fake = Arc::new(Fake::default());
+    let (purse, ledger, mut released) = start(&fake, 3).await?;
+    let mut theirs = Segment::new(entry(1), 1, Millis::ZERO);
+    theirs.receipts.push(receipt(7, 1, 1, 5));
+    let key = segment::key(&entry(1), 1);
+    fake.put(&key, theirs.encode()?, Expect::Absent).await?;
+    ledger.bill(receipt(8, 1, 1, 10));
+    expect_that!(ledger.close(PATIENCE).await.fenced, eq(true));
+    let refused = purse.reserve(&budget(), Tokens::new(1), PATIENCE).await;
+    expect_that!(refused.map_err(|e| e.kind), err(eq(&ErrorKind::Fenced)));
+    drop(ledger);
+    expect_that!(released.recv().await, none());
+    Ok(())
+}
+
+#[gtest]
+fn segments_are_split_by_bytes_and_lose_nothing() -> Result<()> {
+    let mut waiting: Vec<Receipt> = (0..5_000).map(|n| receipt(n, 1, 1, 1)).collect();
+    let mut sum = Tokens::ZERO;
+    let mut sequence = 0;
+    while !waiting.is_empty() {
+        sequence += 1;
+        let mut segment = Segment::new(entry(1), sequence, Millis::ZERO);
+        segment.fill(&mut waiting, &mut Vec::new());
+        let body = segment.encode()?;
+        expect_that!(body.len(), le(MAX_SEGMENT_BYTES));
+        expect_that!(Segment::decode(&body), ok(eq(&segment)));
+        sum += segment.sums().into_values().sum();
+    }
+    expect_that!(sum, eq(Tokens::new(5_000)));
+    expect_that!(sequence, gt(1));
+    Ok(())
+}
