route: candidates, choice of a target, pools, ejection, retries

Cause: entries need one decision function that finds the same candidates everywhere and weighs load, cached prefixes, zone and loaded models.

Ruled out: dropping ejected targets from the ranking. With all targets ejected a request would be refused although one of them may work; they come last instead.

Change: rendezvous candidates, an estimate of the time to the first token in milliseconds as the cost, two baselines for measurement, fair pools a route class, ejection with probes, retry budget and hedge delay.

Conclusion: usable by entry and sidecar.

--- /dev/null
+++ b/crates/route/benches/route.rs
@@ -0,0 +1,82 @@
+//! Cost of one decision by the number of targets.
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use cyc_route::{Ask, Options, Rule, Target, choose, prefix};
+use cyc_types::{AvailabilityZone, Millis, ModelId, ServiceId, size::ParseValueError};
+use strum::IntoEnumIterator as _;
+
+const SIZES: [usize; 4] = [10, 100, 1_000, 10_000];
+const PROMPT_BLOCKS: usize = 32;
+
+struct Scene {
+    service: ServiceId,
+    model: ModelId,
+    zone: AvailabilityZone,
+    targets: Vec<Target>,
+    prefixes: Vec<u64>,
+}
+
+fn scene(size: usize) -> Result<Scene, ParseValueError> {
+    let (service, model): (ServiceId, ModelId) = ("writer".parse()?, "quill".parse()?);
+    let zone: AvailabilityZone = "almaty-a".parse()?;
+    let prefixes = prefix::hashes(&vec![b'x'; PROMPT_BLOCKS * prefix::BLOCK_BYTES]);
+    let mut targets = Vec::new();
+    for n in 0..size {
+        let target = Target::new(
+            format!("engine-{n}").parse()?,
+            service.clone(),
+            zone.clone(),
+        );
+        let mut target = target.with_models(vec![model.clone()]);
+        target
+            .prefixes
+            .note(&prefixes[..n % PROMPT_BLOCKS], Millis::ZERO);
+        (0..n % 5).for_each(|_| target.load.start());
+        targets.push(target);
+    }
+    Ok(Scene {
+        service,
+        model,
+        zone,
+        targets,
+        prefixes,
+    })
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("choose");
+    group.warm_up_time(Duration::from_millis(300));
+    group.measurement_time(Duration::from_secs(1));
+    for size in SIZES {
+        let scene = scene(size).expect("the names are valid");
+        for rule in Rule::iter() {
+            let options = Options {
+                rule,
+                ..Options::default()
+            };
+            let mut key = 0;
+            group.bench_function(BenchmarkId::new(rule.to_string(), size), |b| {
+                b.iter(|| {
+                    key += 1;
+                    let ask = Ask {
+                        service: &scene.service,
+                        model: Some(&scene.model),
+                        adapter: None,
+                        key,
+                        prefixes: &scene.prefixes,
+                        zone: &scene.zone,
+                        now: Millis::ZERO,
+                        turn: key,
+                    };
+                    black_box(choose(&scene.targets, &ask, &options))
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/route/tests/route/choose.rs
@@ -0,0 +1,226 @@
+//! Candidates, prefixes, load and the choice.
+
+use std::collections::BTreeSet;
+
+use cyc_proto::sidecar::LoadReport;
+use cyc_route::{
+    Ask, Load, Options, PrefixCache, Rule, Standing, Target, candidates, choose, prefix,
+};
+use cyc_types::{AvailabilityZone, Millis, ModelId, ServiceId};
+use googletest::prelude::*;
+
+struct Scene {
+    service: ServiceId,
+    model: ModelId,
+    zone: AvailabilityZone,
+    targets: Vec<Target>,
+}
+
+impl Scene {
+    fn new(count: usize) -> Result<Self> {
+        let (service, model): (ServiceId, ModelId) = ("writer".parse()?, "quill".parse()?);
+        let zone: AvailabilityZone = "almaty-a".parse()?;
+        let target = |n: usize| {
+            let target = Target::new(
+                format!("engine-{n}").parse()?,
+                service.clone(),
+                zone.clone(),
+            );
+            Ok(target.with_models(vec![model.clone()]))
+        };
+        let targets = (0..count).map(target).collect::<Result<_>>()?;
+        Ok(Self {
+            service,
+            model,
+            zone,
+            targets,
+        })
+    }
+
+    fn ask<'a>(&'a self, key: u64, prefixes: &'a [u64]) -> Ask<'a> {
+        Ask {
+            service: &self.service,
+            model: Some(&self.model),
+            adapter: None,
+            key,
+            prefixes,
+            zone: &self.zone,
+            now: Millis::new(1_000),
+            turn: key,
+        }
+    }
+
+    fn first(&self, key: u64, prefixes: &[u64], options: &Options) -> Option<usize> {
+        choose(&self.targets, &self.ask(key, prefixes), options)
+            .first()
+            .copied()
+    }
+
+    fn candidates(&self, key: u64, count: usize) -> Vec<usize> {
+        candidates(&self.targets, &self.service, Some(&self.model), key, count)
+    }
+}
+
+#[gtest]
+fn entries_agree_on_candidates_and_a_leaving_target_moves_only_its_own() -> Result<()> {
+    let mut scene = Scene::new(20)?;
+    let before: Vec<Vec<usize>> = (0..200).map(|key| scene.candidates(key, 4)).collect();
+    let firsts: BTreeSet<usize> = before.iter().map(|found| found[0]).collect();
+    expect_that!(firsts.len(), eq(20));
+    scene.targets[3].draining = true;
+    for (key, before) in before.iter().enumerate() {
+        let after = scene.candidates(key as u64, 4);
+        let kept: Vec<usize> = before.iter().copied().filter(|index| *index != 3).collect();
+        expect_that!(after[..kept.len()], eq(&kept[..]));
+    }
+    Ok(())
+}
+
+#[gtest]
+fn only_targets_with_the_model_unless_there_are_none() -> Result<()> {
+    let mut scene = Scene::new(5)?;
+    scene.targets[1].service = "desk".parse()?;
+    for index in [0, 2, 3] {
+        scene.targets[index].models.clear();
+    }
+    expect_that!(scene.candidates(7, 9), eq(&vec![4]));
+    scene.targets[4].models.clear();
+    expect_that!(
+        scene.candidates(7, 9),
+        unordered_elements_are![&0, &2, &3, &4]
+    );
+    Ok(())
+}
+
+#[gtest]
+fn the_estimate_weighs_load_prefixes_zones_and_adapters() -> Result<()> {
+    let options = Options {
+        candidates: 2,
+        ..Options::default()
+    };
+    let prompt = vec![b'x'; 10 * prefix::BLOCK_BYTES];
+    let hashes = prefix::hashes(&prompt);
+    let mut scene = Scene::new(2)?;
+    let first = scene.first(1, &hashes, &options).unwrap_or_default();
+    let second = 1 - first;
+    scene.targets[second]
+        .prefixes
+        .note(&hashes[7..8], Millis::new(900));
+    expect_that!(scene.first(1, &hashes, &options), some(eq(second)));
+    scene.targets[second].load.start();
+    expect_that!(scene.first(1, &hashes, &options), some(eq(second)));
+    scene.targets[second].load.start();
+    expect_that!(scene.first(1, &hashes, &options), some(eq(first)));
+    let mut scene = Scene::new(2)?;
+    scene.targets[first].zone = "almaty-b".parse()?;
+    expect_that!(scene.first(1, &[], &options), some(eq(second)));
+    let adapter: ModelId = "league".parse()?;
+    scene.targets[first].models.push(adapter.clone());
+    let ask = Ask {
+        adapter: Some(&adapter),
+        ..scene.ask(1, &[])
+    };
+    expect_that!(
+        choose(&scene.targets, &ask, &options),
+        eq(&vec![first, second])
+    );
+    Ok(())
+}
+
+#[gtest]
+fn a_hot_prefix_spills_over_and_ejected_targets_come_last() -> Result<()> {
+    let options = Options {
+        candidates: 2,
+        ..Options::default()
+    };
+    let mut scene = Scene::new(8)?;
+    let hot = scene.candidates(1, 2);
+    for _ in 0..50 {
+        hot.iter()
+            .for_each(|index| scene.targets[*index].load.start());
+    }
+    let spilled = scene.first(1, &[], &options);
+    expect_that!(spilled.is_some_and(|index| !hot.contains(&index)), eq(true));
+    for target in &mut scene.targets {
+        target.standing = Standing::Ejected;
+    }
+    expect_that!(
+        choose(&scene.targets, &scene.ask(1, &[]), &options).len(),
+        eq(8)
+    );
+    scene.targets[hot[0]].standing = Standing::Open;
+    expect_that!(scene.first(1, &[], &options), some(eq(hot[0])));
+    Ok(())
+}
+
+#[gtest]
+fn baselines_rank_by_turn_and_by_load() -> Result<()> {
+    let mut scene = Scene::new(4)?;
+    let turns = Options {
+        rule: Rule::RoundRobin,
+        ..Options::default()
+    };
+    let seen: BTreeSet<_> = (0..4).map(|turn| scene.first(turn, &[], &turns)).collect();
+    expect_that!(seen.len(), eq(4));
+    for index in [0, 1, 3] {
+        scene.targets[index].load.start();
+    }
+    let least = Options {
+        rule: Rule::LeastLoaded,
+        ..Options::default()
+    };
+    expect_that!(scene.first(9, &[], &least), some(eq(2)));
+    Ok(())
+}
+
+#[gtest]
+fn load_adds_what_a_report_cannot_show() {
+    let mut load = Load::default();
+    let report = |sequence, running, reported| LoadReport {
+        sequence,
+        running: [running, 0, 0],
+        reported,
+        ..LoadReport::default()
+    };
+    load.start();
+    load.start();
+    let mark = load.mark();
+    load.start();
+    load.report(&report(1, 2, 1.0), mark);
+    expect_that!(load.estimate(), eq(3.0));
+    load.end();
+    expect_that!(load.estimate(), eq(2.0));
+    load.report(&report(1, 9, 0.0), load.mark());
+    expect_that!(load.estimate(), eq(2.0));
+    load.report(&report(2, 2, 6.5), load.mark());
+    expect_that!(load.estimate(), eq(6.5));
+    load.clear();
+    load.report(&report(1, 1, 0.0), load.mark());
+    expect_that!(load.estimate(), eq(1.0));
+}
+
+#[gtest]
+fn prefixes_bridge_gaps_and_age() {
+    let prompt: Vec<u8> = (0..5 * prefix::BLOCK_BYTES)
+        .map(|n| (n / 7) as u8)
+        .collect();
+    let hashes = prefix::hashes(&prompt);
+    let mut other = prompt.clone();
+    other[0] ^= 1;
+    expect_that!(
+        prefix::hashes(&other)
+            .iter()
+            .any(|hash| hashes.contains(hash)),
+        eq(false)
+    );
+    let mut cache = PrefixCache::new(3, Millis::new(100));
+    cache.note(&hashes[2..3], Millis::new(10));
+    expect_that!(cache.known_blocks(&hashes, Millis::new(110)), eq(3));
+    expect_that!(cache.known_blocks(&hashes, Millis::new(111)), eq(0));
+    cache.note(&[1, 2, 3], Millis::new(50));
+    expect_that!(cache.known_blocks(&hashes, Millis::new(60)), eq(0));
+    for now in 60..200 {
+        cache.note(&[7, 8], Millis::new(now));
+    }
+    expect_that!(cache.known_blocks(&[7, 8], Millis::new(200)), eq(2));
+}
--- /dev/null
+++ b/crates/route/tests/route/health.rs
@@ -0,0 +1,100 @@
+//! Ejection, retry budget and hedging.
+
+use cyc_route::{Failure, Health, Hedge, RetryBudget, Standing, health::Options};
+use cyc_types::Millis;
+use googletest::prelude::*;
+
+const fn ms(value: u64) -> Millis {
+    Millis::new(value)
+}
+
+fn options() -> Options {
+    Options {
+        failures: 3,
+        probe_min: ms(100),
+        probe_max: ms(300),
+    }
+}
+
+#[gtest]
+fn consecutive_failures_eject_and_probes_grow_apart() {
+    let mut health = Health::new(options());
+    for failure in [Failure::NotReached, Failure::TargetFailed] {
+        health.fail(failure, ms(10));
+    }
+    health.succeed(ms(11));
+    health.fail(Failure::TargetFailed, ms(12));
+    health.fail(Failure::TargetFailed, ms(13));
+    expect_that!(health.standing(ms(14)), eq(Standing::Open));
+    health.fail(Failure::Timeout(ms(12)), ms(1_000));
+    let mut now = 1_000;
+    for interval in [100, 200, 300, 300] {
+        expect_that!(
+            health.standing(ms(now + interval - 1)),
+            eq(Standing::Ejected)
+        );
+        now += interval;
+        expect_that!(health.standing(ms(now)), eq(Standing::Probe));
+        health.start(ms(now));
+        expect_that!(health.standing(ms(now)), eq(Standing::Ejected));
+        health.fail(Failure::NotReached, ms(now));
+    }
+    health.start(ms(now + 300));
+    health.succeed(ms(now + 301));
+    expect_that!(health.standing(ms(now + 301)), eq(Standing::Open));
+}
+
+#[gtest]
+fn a_lost_probe_does_not_eject_for_ever() {
+    let mut health = Health::new(Options {
+        failures: 1,
+        ..options()
+    });
+    health.fail(Failure::NotReached, ms(0));
+    health.start(ms(100));
+    expect_that!(health.standing(ms(199)), eq(Standing::Ejected));
+    expect_that!(health.standing(ms(200)), eq(Standing::Probe));
+}
+
+#[gtest]
+fn a_slow_target_that_works_is_not_ejected() {
+    let mut health = Health::new(options());
+    for round in 1..100 {
+        health.alive(ms(round * 1_000 + 500));
+        health.fail(Failure::Timeout(ms(round * 1_000)), ms(round * 1_000 + 900));
+        expect_that!(health.standing(ms(round * 1_000 + 900)), eq(Standing::Open));
+    }
+    for _ in 0..3 {
+        health.fail(Failure::Timeout(ms(200_000)), ms(300_000));
+    }
+    expect_that!(health.standing(ms(300_000)), eq(Standing::Ejected));
+}
+
+#[gtest]
+fn retries_stay_a_share_of_the_requests() {
+    let mut budget = RetryBudget::new(0.1, 5.0);
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.request();
+        retries += u32::from(budget.retry());
+    }
+    expect_that!(retries, all!(ge(100), le(105)));
+}
+
+#[gtest]
+fn only_idempotent_requests_are_hedged_after_the_95th_percentile() {
+    let mut hedge = Hedge::new();
+    let mut budget = RetryBudget::new(0.0, 1.0);
+    for latency in 1..=19 {
+        hedge.note(ms(latency));
+    }
+    expect_that!(hedge.delay(), none());
+    for latency in 20..=100 {
+        hedge.note(ms(latency));
+    }
+    expect_that!(hedge.delay(), some(eq(ms(95))));
+    expect_that!(hedge.is_due(false, ms(500), &mut budget), eq(false));
+    expect_that!(hedge.is_due(true, ms(94), &mut budget), eq(false));
+    expect_that!(hedge.is_due(true, ms(95), &mut budget), eq(true));
+    expect_that!(hedge.is_due(true, ms(95), &mut budget), eq(false));
+}
