--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -164,6 +164,8 @@
             pending::<()>().await;
         }
         if self.faults.break_after == sent {
+            // The server flushes what it has while the body is pending; an error drops the rest.
+            tokio::task::yield_now().await;
             return Step::Break;
         }
         if self.faults.truncate_after == sent {
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -18,6 +18,9 @@
 pub const DEFAULT_LISTEN: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0));
 
 /// A stand-in that is served in this process until it is dropped.
+///
+/// Dropping it frees the port; connections that are open already are served to their end. Use
+/// [`crate::relay::TcpRelay`] to break those.
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
--- /dev/null
+++ b/crates/standin/src/store/api.rs
@@ -0,0 +1,78 @@
+//! The calls of the platform, in process.
+
+use async_trait::async_trait;
+use cyc_platform::{Body, Change, Expect, Kind, Object, ObjectKey, Platform, Result, Vm};
+use cyc_types::{ByteSize, Millis, Version};
+use tokio::time::Instant;
+
+use super::{Call, Operation, Store, permit};
+
+#[async_trait]
+impl Platform for Store {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<Object>> {
+        let call = Call::new(Operation::Get, key.kind, &key.name);
+        let key = key.clone();
+        self.call(call, move |_, state| Ok(state.objects.get(&key)))
+            .await
+    }
+
+    async fn put(&self, key: &ObjectKey, body: Body, expect: Expect) -> Result<Version> {
+        let call = Call::new(Operation::Put, key.kind, &key.name);
+        let key = key.clone();
+        self.call(call, move |_, state| state.objects.put(&key, body, expect))
+            .await
+    }
+
+    async fn delete(&self, key: &ObjectKey, version: Version) -> Result<()> {
+        let call = Call::new(Operation::Delete, key.kind, &key.name);
+        let key = key.clone();
+        self.call(call, move |_, state| state.objects.delete(&key, version))
+            .await
+    }
+
+    async fn list(&self, kind: Kind, prefix: &str) -> Result<Vec<Object>> {
+        let call = Call::new(Operation::List, kind, prefix);
+        let prefix = prefix.to_owned();
+        self.call(call, move |_, state| Ok(state.objects.list(kind, &prefix)))
+            .await
+    }
+
+    async fn watch(
+        &self,
+        kind: Kind,
+        prefix: &str,
+        since: Version,
+        wait: Millis,
+    ) -> Result<Vec<Change>> {
+        let call = Call::new(Operation::Watch, kind, prefix);
+        let deadline = Instant::now() + wait.duration();
+        let mut wake = self.inner.wake.subscribe();
+        let counted = call.clone();
+        self.call(counted, |_, _| Ok(())).await?;
+        loop {
+            wake.mark_unchanged();
+            if let Some(outcome) = self.look(&call, since) {
+                return outcome;
+            }
+            let woken = tokio::time::timeout_at(deadline, wake.changed()).await;
+            if woken.is_err() {
+                return Ok(Vec::new());
+            }
+        }
+    }
+
+    async fn vms(&self) -> Result<Vec<Vm>> {
+        self.call(Call::plain(Operation::Vms), |inner, state| {
+            let lag = state.faults.faults.vm_lag;
+            Ok(state.vms.seen(inner.clock.now(), lag))
+        })
+        .await
+    }
+
+    async fn weight_permit(&self, bytes: ByteSize) -> Result<Option<Millis>> {
+        self.call(Call::plain(Operation::WeightPermit), move |inner, state| {
+            Ok(permit(inner, state, bytes))
+        })
+        .await
+    }
+}
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,23 +1,23 @@
 //! The platform in memory: object API, VM list and weight store, with faults.
 //!
-//! [`Store`] implements [`Platform`], so that tests use it in their own process;
+//! [`Store`] implements [`cyc_platform::Platform`], so that tests use it in their own process;
 //! [`crate::platform`] serves it over HTTP.
 
+mod api;
 mod counters;
 mod faults;
 mod objects;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use async_trait::async_trait;
 use counters::Tally;
 pub use counters::{CallCount, Counters, Operation};
-use cyc_platform::{Body, Change, Error, Expect, Kind, Object, ObjectKey, Platform, Result, Vm};
+use cyc_platform::{Change, Error, Kind, Object, ObjectKey, Result, Vm};
 use cyc_types::{ByteSize, Clock, Millis, Version};
 use faults::FaultState;
 pub use faults::{Faults, LostAnswers};
 use objects::Objects;
-use tokio::{sync::watch, time::Instant};
+use tokio::sync::watch;
 
 use crate::lagged::Lagged;
 
@@ -249,73 +249,3 @@
     state.weights_busy_until = now + Millis::new(load_ms);
     None
 }
-
-#[async_trait]
-impl Platform for Store {
-    async fn get(&self, key: &ObjectKey) -> Result<Option<Object>> {
-        let call = Call::new(Operation::Get, key.kind, &key.name);
-        let key = key.clone();
-        self.call(call, move |_, state| Ok(state.objects.get(&key)))
-            .await
-    }
-
-    async fn put(&self, key: &ObjectKey, body: Body, expect: Expect) -> Result<Version> {
-        let call = Call::new(Operation::Put, key.kind, &key.name);
-        let key = key.clone();
-        self.call(call, move |_, state| state.objects.put(&key, body, expect))
-            .await
-    }
-
-    async fn delete(&self, key: &ObjectKey, version: Version) -> Result<()> {
-        let call = Call::new(Operation::Delete, key.kind, &key.name);
-        let key = key.clone();
-        self.call(call, move |_, state| state.objects.delete(&key, version))
-            .await
-    }
-
-    async fn list(&self, kind: Kind, prefix: &str) -> Result<Vec<Object>> {
-        let call = Call::new(Operation::List, kind, prefix);
-        let prefix = prefix.to_owned();
-        self.call(call, move |_, state| Ok(state.objects.list(kind, &prefix)))
-            .await
-    }
-
-    async fn watch(
-        &self,
-        kind: Kind,
-        prefix: &str,
-        since: Version,
-        wait: Millis,
-    ) -> Result<Vec<Change>> {
-        let call = Call::new(Operation::Watch, kind, prefix);
-        let deadline = Instant::now() + wait.duration();
-        let mut wake = self.inner.wake.subscribe();
-        let counted = call.clone();
-        self.call(counted, |_, _| Ok(())).await?;
-        loop {
-            wake.mark_unchanged();
-            if let Some(outcome) = self.look(&call, since) {
-                return outcome;
-            }
-            let woken = tokio::time::timeout_at(deadline, wake.changed()).await;
-            if woken.is_err() {
-                return Ok(Vec::new());
-            }
-        }
-    }
-
-    async fn vms(&self) -> Result<Vec<Vm>> {
-        self.call(Call::plain(Operation::Vms), |inner, state| {
-            let lag = state.faults.faults.vm_lag;
-            Ok(state.vms.seen(inner.clock.now(), lag))
-        })
-        .await
-    }
-
-    async fn weight_permit(&self, bytes: ByteSize) -> Result<Option<Millis>> {
-        self.call(Call::plain(Operation::WeightPermit), move |inner, state| {
-            Ok(permit(inner, state, bytes))
-        })
-        .await
-    }
-}
--- a/crates/standin/tests/standin/engine.rs
+++ b/crates/standin/tests/standin/engine.rs
@@ -1,1 +1,590 @@
-//! To come.
+//! The engine's contract: streams, faults of answers, cancel, resume, orders, cache and load.
+
+use axum::{Router, body::Body};
+use cyc_standin::{
+    client::{Answer, Client},
+    engine::{
+        CacheAction, ChatRequest, Counters, Engine, Faults, Load, Message, Options, Order,
+        OrderAction, expected_text, router,
+    },
+    serve::Server,
+};
+use cyc_types::{Clock, Millis};
+use googletest::prelude::*;
+use http::{Method, Request, StatusCode};
+use http_body_util::BodyExt as _;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+use tower::ServiceExt as _;
+
+struct Bench {
+    engine: Engine,
+    client: Client,
+    _server: Server,
+}
+
+async fn bench(options: Options) -> std::io::Result<Bench> {
+    let engine = Engine::new(options);
+    let server = Server::start(router(engine.clone())).await?;
+    Ok(Bench {
+        client: Client::new(server.addr()),
+        engine,
+        _server: server,
+    })
+}
+
+/// An engine whose tokens take no time.
+fn fast() -> Options {
+    Options {
+        token_time: Millis::ZERO,
+        prefill_block_time: Millis::ZERO,
+        ..Options::default()
+    }
+}
+
+fn chat(id: &str, prompt: &str) -> ChatRequest {
+    ChatRequest {
+        model: "writer".into(),
+        messages: vec![Message {
+            role: "user".into(),
+            content: prompt.into(),
+        }],
+        max_tokens: None,
+        stream: true,
+        request_id: Some(id.into()),
+        priority: 0,
+        from: 0,
+    }
+}
+
+/// What a stream said.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Stream {
+    ids: Vec<String>,
+    text: String,
+    reason: String,
+    completion_tokens: Option<u64>,
+    done: bool,
+}
+
+fn parse(answer: &Answer) -> Result<Stream> {
+    let mut stream = Stream::default();
+    for line in answer.text.lines().filter(|line| !line.is_empty()) {
+        let data = line.strip_prefix("data: ").or_fail()?;
+        if data == "[DONE]" {
+            stream.done = true;
+            continue;
+        }
+        let chunk: Value = serde_json::from_str(data)?;
+        let id = chunk["id"].as_str().unwrap_or_default().to_owned();
+        if !stream.ids.contains(&id) {
+            stream.ids.push(id);
+        }
+        let choice = &chunk["choices"][0];
+        stream.text += choice["delta"]["content"].as_str().unwrap_or_default();
+        stream.reason += choice["finish_reason"].as_str().unwrap_or_default();
+        let tokens = chunk["usage"]["completion_tokens"].as_u64();
+        stream.completion_tokens = stream.completion_tokens.or(tokens);
+    }
+    Ok(stream)
+}
+
+impl Bench {
+    async fn send(&self, req: &ChatRequest) -> Result<Answer> {
+        let path = "/v1/chat/completions";
+        Ok(self.client.send_json(Method::POST, path, req).await?)
+    }
+
+    /// Sends a request in a task of its own.
+    fn spawn(&self, req: ChatRequest) -> tokio::task::JoinHandle<Option<Answer>> {
+        let client = self.client.clone();
+        tokio::spawn(async move {
+            let path = "/v1/chat/completions";
+            client.send_json(Method::POST, path, &req).await.ok()
+        })
+    }
+
+    async fn until(&self, holds: impl Fn(&Counters, &Load) -> bool) {
+        while !holds(&self.engine.counters(), &self.engine.load()) {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    async fn cancel(&self, id: &str) -> Result<Value> {
+        let body = json!({"request_id": id});
+        let answer = self.client.send_json(Method::POST, "/v1/cancel", &body);
+        Ok(answer.await?.json()?)
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn answers_have_the_length_and_text_of_their_prompt() -> Result<()> {
+    let bench = bench(fast()).await?;
+    for (prompt, max_tokens, tokens, reason) in [
+        ("draft len=5", None, 5, "stop"),
+        ("draft len=5", Some(5), 5, "stop"),
+        ("draft len=50 please", Some(7), 7, "length"),
+        ("draft", None, 16, "stop"),
+        ("len=0", None, 0, "stop"),
+        ("len=x", Some(0), 0, "length"),
+    ] {
+        let req = ChatRequest {
+            max_tokens,
+            ..chat("r-1", prompt)
+        };
+        let answer = bench.send(&req).await?;
+        let want = Stream {
+            ids: vec!["r-1".into()],
+            text: expected_text(prompt, tokens),
+            reason: reason.into(),
+            completion_tokens: Some(tokens),
+            done: true,
+        };
+        expect_that!(parse(&answer)?, eq(&want), "{prompt}");
+
+        let whole = bench
+            .send(&ChatRequest {
+                stream: false,
+                ..req
+            })
+            .await?;
+        let whole: Value = whole.json()?;
+        let content = whole["choices"][0]["message"]["content"].as_str();
+        expect_that!(content, some(eq(want.text.as_str())), "{prompt}");
+        expect_that!(
+            whole["usage"]["completion_tokens"].as_u64(),
+            some(eq(tokens))
+        );
+        expect_that!(
+            whole["choices"][0]["finish_reason"].as_str(),
+            some(eq(reason))
+        );
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn concurrent_answers_are_not_crossed() -> Result<()> {
+    let bench = bench(Options { slots: 4, ..fast() }).await?;
+    let prompts: Vec<_> = (0..24)
+        .map(|n| format!("question {n} len={}", n + 1))
+        .collect();
+    let runs = prompts
+        .iter()
+        .map(|prompt| bench.spawn(chat(prompt, prompt)));
+    for (n, run) in runs.collect::<Vec<_>>().into_iter().enumerate() {
+        let stream = parse(&run.await?.or_fail()?)?;
+        let prompt = &prompts[n];
+        expect_that!(stream.ids, eq(&vec![prompt.clone()]));
+        expect_that!(stream.text, eq(&expected_text(prompt, n as u64 + 1)));
+        expect_that!(bench.engine.counters().runs_of(prompt), eq(1));
+    }
+    Ok(())
+}
+
+/// What arrives under each fault: status, whole body, tokens, end marker; and the runs it took.
+#[gtest]
+#[tokio::test]
+async fn faults_of_answers_leave_what_the_table_says() -> Result<()> {
+    const PROMPT: &str = "guide len=6";
+    let ok = StatusCode::OK;
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let table = [
+        (Faults::default(), ok, true, 6, true, 1),
+        (
+            Faults {
+                late: Millis::new(1),
+                ..Faults::default()
+            },
+            ok,
+            true,
+            6,
+            true,
+            1,
+        ),
+        (
+            Faults {
+                token_delay: Millis::new(1),
+                ..Faults::default()
+            },
+            ok,
+            true,
+            6,
+            true,
+            1,
+        ),
+        (
+            Faults {
+                break_after: Some(3),
+                ..Faults::default()
+            },
+            ok,
+            false,
+            3,
+            false,
+            1,
+        ),
+        (
+            Faults {
+                truncate_after: Some(3),
+                ..Faults::default()
+            },
+            ok,
+            true,
+            3,
+            false,
+            1,
+        ),
+        (
+            Faults {
+                refuse: true,
+                ..Faults::default()
+            },
+            unavailable,
+            true,
+            0,
+            false,
+            0,
+        ),
+        (
+            Faults {
+                status: Some(503),
+                ..Faults::default()
+            },
+            unavailable,
+            true,
+            0,
+            false,
+            1,
+        ),
+        (
+            Faults {
+                times: Some(0),
+                refuse: true,
+                ..Faults::default()
+            },
+            ok,
+            true,
+            6,
+            true,
+            1,
+        ),
+    ];
+    for (faults, status, complete, tokens, done, runs) in table {
+        let bench = bench(fast()).await?;
+        bench.engine.set_faults(faults.clone());
+        let answer = bench.send(&chat("r", PROMPT)).await?;
+        expect_that!(answer.status, eq(status), "{faults:?}");
+        expect_that!(answer.complete, eq(complete), "{faults:?}");
+        expect_that!(bench.engine.counters().runs_of("r"), eq(runs), "{faults:?}");
+        if answer.status == ok {
+            let stream = parse(&answer)?;
+            expect_that!(
+                stream.text,
+                eq(&expected_text(PROMPT, tokens)),
+                "{faults:?}"
+            );
+            expect_that!(stream.done, eq(done), "{faults:?}");
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_crossed_answer_has_another_id_and_text() -> Result<()> {
+    let bench = bench(fast()).await?;
+    bench.engine.set_faults(Faults {
+        crossed: true,
+        times: Some(1),
+        ..Faults::default()
+    });
+    let crossed = parse(&bench.send(&chat("r", "guide")).await?)?;
+    expect_that!(crossed.ids, eq(&vec!["crossed".to_owned()]));
+    expect_that!(crossed.text, not(eq(&expected_text("guide", 16))));
+    let own = parse(&bench.send(&chat("r", "guide")).await?)?;
+    expect_that!(own.ids, eq(&vec!["r".to_owned()]));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_hanging_engine_has_started_the_run() -> Result<()> {
+    let bench = bench(fast()).await?;
+    let faults = json!({"hang": true});
+    bench
+        .client
+        .send_json(Method::PUT, "/admin/faults", &faults)
+        .await?;
+    let run = bench.spawn(chat("r", "guide"));
+    bench.until(|counters, _| counters.runs_of("r") == 1).await;
+    expect_that!(run.is_finished(), eq(false));
+    run.abort();
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_cancelled_run_ends_with_its_usage() -> Result<()> {
+    let bench = bench(fast()).await?;
+    bench.engine.set_faults(Faults {
+        stall_after: Some(2),
+        ..Faults::default()
+    });
+    let run = bench.spawn(chat("r", "guide"));
+    bench
+        .until(|counters, _| counters.tokens_generated == 2)
+        .await;
+    expect_that!(
+        bench.cancel("other").await?,
+        eq(&json!({"cancelled": false}))
+    );
+    expect_that!(bench.cancel("r").await?, eq(&json!({"cancelled": true})));
+    let stream = parse(&run.await?.or_fail()?)?;
+    expect_that!(stream.reason, eq("cancelled"));
+    expect_that!(stream.completion_tokens, some(eq(2)));
+    expect_that!(stream.text, eq(&expected_text("guide", 2)));
+    bench.until(|_, load| load.running == 0).await;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_broken_stream_is_resumed_without_a_second_run() -> Result<()> {
+    let bench = bench(fast()).await?;
+    bench.engine.set_faults(Faults {
+        break_after: Some(5),
+        times: Some(1),
+        ..Faults::default()
+    });
+    let first = parse(&bench.send(&chat("r", "guide")).await?)?;
+    let rest = ChatRequest {
+        from: 5,
+        ..chat("r", "guide")
+    };
+    let rest = parse(&bench.send(&rest).await?)?;
+    expect_that!(first.text + &rest.text, eq(&expected_text("guide", 16)));
+    expect_that!(rest.completion_tokens, some(eq(16)));
+    let counters = bench.engine.counters();
+    expect_that!((counters.runs_of("r"), counters.resumes["r"]), eq((1, 1)));
+    expect_that!(counters.tokens_generated, eq(16));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_free_slot_goes_to_the_highest_priority() -> Result<()> {
+    let bench = bench(Options { slots: 1, ..fast() }).await?;
+    bench.engine.set_faults(Faults {
+        stall_after: Some(1),
+        ..Faults::default()
+    });
+    let mut runs = Vec::new();
+    for (waiting, (id, priority)) in [("first", 0), ("low", 1), ("high", 2)]
+        .into_iter()
+        .enumerate()
+    {
+        let req = ChatRequest {
+            priority,
+            ..chat(id, id)
+        };
+        runs.push((id, bench.spawn(req)));
+        bench
+            .until(|counters, load| {
+                counters.tokens_generated == 1 && load.waiting == waiting as u64
+            })
+            .await;
+    }
+    // Each run stalls after one token, so the tokens tell which run has the slot.
+    for (tokens, id) in [(1, "first"), (2, "high"), (3, "low")] {
+        bench
+            .until(|counters, _| counters.tokens_generated == tokens)
+            .await;
+        bench.cancel(id).await?;
+    }
+    for (id, run) in runs {
+        let stream = parse(&run.await?.or_fail()?)?;
+        expect_that!(stream.completion_tokens, some(eq(1)), "{id}");
+    }
+    Ok(())
+}
+
+/// Runs chats at the same time on the paused clock and returns how long they took.
+async fn elapsed(router: &Router, reqs: &[ChatRequest]) -> Result<std::time::Duration> {
+    let start = Instant::now();
+    let mut runs = Vec::new();
+    for req in reqs {
+        let req = Request::post("/v1/chat/completions")
+            .header("content-type", "application/json")
+            .body(Body::from(serde_json::to_vec(req)?))?;
+        let router = router.clone();
+        runs.push(async move {
+            let Ok(answer) = router.oneshot(req).await;
+            answer.into_body().collect().await
+        });
+    }
+    for answer in futures::future::join_all(runs).await {
+        answer.or_fail()?;
+    }
+    Ok(start.elapsed())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn tokens_slow_down_in_a_batch_and_prefill_speeds_up_with_the_cache() -> Result<()> {
+    let options = Options {
+        token_time: Millis::new(10),
+        batch_slowdown_percent: 50,
+        prefill_block_time: Millis::new(10),
+        ..Options::default()
+    };
+    let router = router(Engine::new(options));
+    let alone = elapsed(&router, &[chat("a", "len=10")]).await?;
+    let eight: Vec<_> = (0..8).map(|_| chat("b", "len=10")).collect();
+    expect_that!(elapsed(&router, &eight).await?, gt(alone * 2));
+    let long = chat("c", &format!("{} len=1", "wiring ".repeat(100)));
+    let cold = elapsed(&router, std::slice::from_ref(&long)).await?;
+    expect_that!(elapsed(&router, &[long]).await?, lt(cold / 2));
+    Ok(())
+}
+
+fn order(fencing: u64, version: &str) -> Order {
+    Order {
+        fencing,
+        action: OrderAction::LoadModel,
+        model: Some("writer".into()),
+        version: Some(version.into()),
+        adapter: None,
+        role: None,
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn old_fencing_numbers_are_refused_only_where_they_are_checked() -> Result<()> {
+    for (checks_fencing, old_status, version) in [
+        (true, StatusCode::CONFLICT, "5"),
+        (false, StatusCode::OK, "4"),
+    ] {
+        let bench = bench(Options {
+            checks_fencing,
+            ..fast()
+        })
+        .await?;
+        for (fencing, want) in [(5, StatusCode::OK), (5, StatusCode::OK), (4, old_status)] {
+            let order = order(fencing, &fencing.to_string());
+            let answer = bench
+                .client
+                .send_json(Method::POST, "/v1/orders", &order)
+                .await?;
+            expect_that!(answer.status, eq(want), "{checks_fencing} {fencing}");
+        }
+        let load: Load = bench.client.get("/v1/load").await?.json()?;
+        expect_that!(load.models["writer"], eq(version));
+        let counters: Counters = bench.client.get("/admin/counters").await?.json()?;
+        let accepted: Vec<_> = counters.orders.iter().map(|seen| seen.accepted).collect();
+        expect_that!(accepted, eq(&vec![true, true, !checks_fencing]));
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn orders_change_what_is_served() -> Result<()> {
+    let bench = bench(fast()).await?;
+    let table = [
+        (
+            json!({"action": "load_adapter", "model": "writer", "adapter": "quiz"}),
+            StatusCode::OK,
+        ),
+        (
+            json!({"action": "load_model", "model": "other"}),
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            json!({"action": "set_role", "role": "decode"}),
+            StatusCode::OK,
+        ),
+        (json!({"action": "set_role"}), StatusCode::BAD_REQUEST),
+    ];
+    for (mut order, want) in table {
+        order["fencing"] = 1.into();
+        let answer = bench
+            .client
+            .send_json(Method::POST, "/v1/orders", &order)
+            .await?;
+        expect_that!(answer.status, eq(want), "{order}");
+    }
+    expect_that!(bench.engine.load().role.to_string(), eq("decode"));
+    for unloaded in [false, true] {
+        for (model, served) in [("writer", true), ("writer:quiz", true), ("other", false)] {
+            let req = ChatRequest {
+                model: model.into(),
+                ..chat("r", "len=1")
+            };
+            let status = bench.send(&req).await?.status;
+            let want = if served && !unloaded {
+                StatusCode::OK
+            } else {
+                StatusCode::NOT_FOUND
+            };
+            expect_that!(status, eq(want), "{model} {unloaded}");
+        }
+        let unload = json!({"action": "unload_model", "model": "writer", "fencing": 2});
+        bench
+            .client
+            .send_json(Method::POST, "/v1/orders", &unload)
+            .await?;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn cache_events_and_load_come_late_and_with_gaps() -> Result<()> {
+    let clock = Clock::new_manual(Millis::new(1_000));
+    let bench = bench(Options {
+        cache_blocks: 2,
+        clock: clock.clone(),
+        ..fast()
+    })
+    .await?;
+    bench.engine.set_faults(Faults {
+        events_late: Millis::new(100),
+        load_lag: Millis::new(200),
+        ..Faults::default()
+    });
+    for letter in ["a", "b", "c"] {
+        bench.send(&chat(letter, &letter.repeat(64))).await?;
+    }
+    bench.engine.order(order(1, "2")).await?;
+    let actions = |after| {
+        let events = bench.engine.cache_events(after).events;
+        events
+            .into_iter()
+            .map(|e| (e.sequence, e.action))
+            .collect::<Vec<_>>()
+    };
+    let (stored, evicted) = (CacheAction::Stored, CacheAction::Evicted);
+    clock.advance(Millis::new(99));
+    expect_that!(actions(0), is_empty());
+    clock.advance(Millis::new(1));
+    let all = vec![(1, stored), (2, stored), (3, stored), (4, evicted)];
+    expect_that!(actions(0), eq(&all));
+    expect_that!(actions(3), eq(&vec![(4, evicted)]));
+    let version = || bench.engine.load().models["writer"].clone();
+    clock.advance(Millis::new(99));
+    expect_that!(version(), eq("1"));
+    clock.advance(Millis::new(1));
+    expect_that!(version(), eq("2"));
+    bench.engine.set_faults(Faults {
+        events_lost_every: 2,
+        ..Faults::default()
+    });
+    expect_that!(actions(0), eq(&vec![(1, stored), (3, stored)]));
+    let counters = bench.engine.counters();
+    expect_that!((counters.blocks_hit, counters.blocks_missed), eq((0, 3)));
+    Ok(())
+}
