--- a/crates/claim/src/bucket.rs
+++ b/crates/claim/src/bucket.rs
@@ -17,6 +17,11 @@
     hash::bucket(request.to_string().as_bytes(), buckets)
 }
 
+/// The number of buckets of each service.
+///
+/// A constant, since a request whose bucket changed could be claimed twice.
+pub const BUCKETS: u32 = 64;
+
 /// Names the object of a bucket.
 pub fn object_key(service: &ServiceId, bucket: u32) -> ObjectKey {
     ObjectKey::new(Kind::Claim, format!("{service}.{bucket}"))
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -10,5 +10,5 @@
 mod waiter;
 mod worker;
 
-pub use bucket::{Bucket, Claim, Draft, State, bucket_of, object_key};
+pub use bucket::{BUCKETS, Bucket, Claim, Draft, State, bucket_of, object_key};
 pub use commit::{ClaimOutcome, Committer, DoneAnswer, Options};
--- /dev/null
+++ b/crates/entry/src/api/mod.rs
@@ -0,0 +1,7 @@
+//! The callers' HTTP API.
+
+pub mod call;
+pub mod chat;
+pub mod headers;
+pub mod problem;
+pub mod server;
--- /dev/null
+++ b/crates/entry/src/api/problem.rs
@@ -0,0 +1,86 @@
+//! Refusals as problem documents (RFC 9457).
+
+use axum::response::{IntoResponse, Response};
+use cyc_types::{Millis, Refusal, RequestId, error::Answer};
+use http::{HeaderValue, StatusCode, header};
+use serde::Serialize;
+use serde_json::Value;
+
+/// Media type of a problem document.
+const PROBLEM_JSON: &str = "application/problem+json";
+/// Header that names the request.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Advice on when to retry where nothing better is known.
+const DEFAULT_RETRY_AFTER: Millis = Millis::SECOND;
+
+/// A problem document.
+#[derive(Debug, Clone, Serialize)]
+pub struct Problem<'a> {
+    /// A URI that names the kind.
+    #[serde(rename = "type")]
+    uri: String,
+    /// The title of the kind.
+    title: &'static str,
+    /// HTTP status code.
+    status: u16,
+    /// What happened in this case.
+    detail: &'a str,
+    /// The kind.
+    kind: cyc_types::ErrorKind,
+    /// What is known about the run.
+    outcome: cyc_types::Outcome,
+    /// Whether a retry helps.
+    retry: cyc_types::error::RetryAdvice,
+    /// The request.
+    request_id: RequestId,
+}
+
+impl<'a> Problem<'a> {
+    /// Creates the document for a refusal.
+    pub fn new(request: RequestId, refusal: &'a Refusal) -> Self {
+        let Answer {
+            status,
+            outcome,
+            retry,
+            title,
+        } = refusal.kind.answer();
+        Self {
+            uri: format!("urn:cyclamenlead:error:{}", refusal.kind),
+            title,
+            status,
+            detail: &refusal.detail,
+            kind: refusal.kind,
+            outcome,
+            retry,
+            request_id: request,
+        }
+    }
+
+    /// Returns the document as JSON.
+    pub fn to_json(&self) -> Value {
+        serde_json::to_value(self).unwrap_or(Value::Null)
+    }
+}
+
+/// Answers a request with a refusal.
+pub fn respond(request: RequestId, refusal: &Refusal) -> Response {
+    let problem = Problem::new(request, refusal);
+    let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = (status, problem.to_json().to_string()).into_response();
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_JSON));
+    insert_request_id(headers, request);
+    if problem.retry == cyc_types::error::RetryAdvice::Later {
+        let after = refusal.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+        let seconds = after.get().div_ceil(Millis::SECOND.get()).max(1);
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// Names the request in a header.
+pub fn insert_request_id(headers: &mut http::HeaderMap, request: RequestId) {
+    if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
+        headers.insert(REQUEST_ID, value);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api/server.rs
@@ -0,0 +1,156 @@
+//! The routes of the callers' API and the server that serves them.
+
+use std::sync::Arc;
+
+use axum::{
+    Router,
+    body::{Body, Bytes},
+    extract::{OriginalUri, Path, State},
+    response::{IntoResponse, Response},
+    routing::{any, get, post},
+};
+use cyc_config::Snapshot;
+use cyc_types::{ErrorKind, Millis, Refusal, RequestId};
+use http::{HeaderMap, Method, StatusCode};
+
+use crate::{
+    api::{call, chat, headers, problem},
+    app::App,
+    chain,
+    cx::Cx,
+};
+
+/// How long a caller may take to send a body.
+const BODY_TIMEOUT: Millis = Millis::new(10_000);
+/// Path before the name of a plain service.
+const SERVICES: &str = "/v1/services/";
+
+/// Builds the routes.
+pub fn router(app: Arc<App>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(chat_completions))
+        .route("/v1/services/{service}/{*path}", any(service_call))
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route("/readyz", get(ready))
+        .fallback(no_route)
+        .with_state(app)
+}
+
+async fn ready(State(app): State<Arc<App>>) -> Response {
+    let why = if app.is_draining() {
+        "draining\n"
+    } else if app.config.current().is_none() {
+        "no configuration\n"
+    } else {
+        let (revision, sidecars) = (app.config.revision(), app.fleet.reachable());
+        return format!("ready revision={revision} sidecars={sidecars}\n").into_response();
+    };
+    (StatusCode::SERVICE_UNAVAILABLE, why).into_response()
+}
+
+async fn no_route(OriginalUri(uri): OriginalUri) -> Response {
+    let refusal = Refusal::new(ErrorKind::NoSuchRoute, format!("no route {}", uri.path()));
+    problem::respond(RequestId::random(), &refusal)
+}
+
+async fn chat_completions(State(app): State<Arc<App>>, headers: HeaderMap, body: Body) -> Response {
+    let _busy = app.begin();
+    let read = async {
+        let config = config(&app, &headers)?;
+        let chat = chat::read(&config.services, &read_body(&app, body).await?)?;
+        Ok((Cx::new(headers::read(&headers)?, chat.ask.clone()), chat))
+    };
+    let (mut cx, chat) = match read.await {
+        Ok(read) => read,
+        Err(refusal) => return problem::respond(RequestId::random(), &refusal),
+    };
+    match run(&app, &mut cx).await {
+        Ok(events) => chat::respond(cx.request, &chat, events).await,
+        Err(refusal) => problem::respond(cx.request, &refusal),
+    }
+}
+
+async fn service_call(
+    State(app): State<Arc<App>>,
+    method: Method,
+    Path((service, _)): Path<(String, String)>,
+    OriginalUri(uri): OriginalUri,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let _busy = app.begin();
+    let whole = uri.path_and_query().map_or("", |path| path.as_str());
+    let below = whole.get(SERVICES.len() + service.len()..).unwrap_or("/");
+    let read = async {
+        let config = config(&app, &headers)?;
+        let body = read_body(&app, body).await?;
+        let call = call::Call {
+            method: &method,
+            service: &service,
+            path: below,
+            headers: &headers,
+            body: &body,
+        };
+        Ok(Cx::new(
+            headers::read(&headers)?,
+            call::read(&config.services, &call)?,
+        ))
+    };
+    let mut cx = match read.await {
+        Ok(cx) => cx,
+        Err(refusal) => return problem::respond(RequestId::random(), &refusal),
+    };
+    match run(&app, &mut cx).await {
+        Ok(events) => call::respond(cx.request, events).await,
+        Err(refusal) => problem::respond(cx.request, &refusal),
+    }
+}
+
+async fn run(app: &Arc<App>, cx: &mut Cx) -> Result<crate::forward::Events, Refusal> {
+    chain::run(app, cx).await?;
+    cx.events
+        .take()
+        .ok_or_else(|| Refusal::new(ErrorKind::Internal, "nothing was forwarded"))
+}
+
+/// Returns the configuration, but only to a caller with a known key: others learn nothing.
+fn config(app: &App, headers: &HeaderMap) -> Result<Arc<Snapshot>, Refusal> {
+    let config = app.config.current().ok_or_else(|| {
+        Refusal::new(ErrorKind::NotConfigured, "no configuration is in force yet")
+    })?;
+    let key = headers::read(headers)?.api_key;
+    match key.is_some_and(|key| config.accounts.owner(&key).is_some()) {
+        true => Ok(config),
+        false => Err(Refusal::new(
+            ErrorKind::Unauthenticated,
+            "the API key is not known",
+        )),
+    }
+}
+
+/// Reads a body within the size limit and in time, so that slow callers cannot hold an entry.
+async fn read_body(app: &App, body: Body) -> Result<Bytes, Refusal> {
+    let limit = app.options.max_body;
+    let size = usize::try_from(limit.get()).unwrap_or(usize::MAX);
+    let reading = axum::body::to_bytes(body, size);
+    match tokio::time::timeout(BODY_TIMEOUT.duration(), reading).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(error)) if is_over_limit(&error) => {
+            let detail = format!("the body is larger than max_body_bytes = {limit}");
+            Err(Refusal::new(ErrorKind::TooLarge, detail))
+        }
+        Ok(Err(error)) => Err(Refusal::new(
+            ErrorKind::BadRequest,
+            format!("the body: {error}"),
+        )),
+        Err(_) => {
+            let detail = format!("the body was not complete after {BODY_TIMEOUT} ms");
+            Err(Refusal::new(ErrorKind::BadRequest, detail))
+        }
+    }
+}
+
+fn is_over_limit(error: &axum::Error) -> bool {
+    std::error::Error::source(error)
+        .is_some_and(|source| source.is::<http_body_util::LengthLimitError>())
+}
--- /dev/null
+++ b/crates/entry/src/control/follow.rs
@@ -0,0 +1,103 @@
+//! Follows the accepted configuration in the platform, and at peers while the platform is out.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use cyc_config::{LoadError, Revised as _, Snapshot, store};
+use cyc_member::Backoff;
+use cyc_platform::{Kind, Platform};
+use cyc_proto::{
+    Link, ProcessKey,
+    peer::{ConfigRequest, PeerClient as _},
+};
+use cyc_types::{Millis, Version};
+
+use crate::{app::App, fleet::Place};
+
+/// How long one watch waits.
+const WATCH_WAIT: Millis = Millis::new(10_000);
+/// Name of the head object.
+const HEAD: &str = "head";
+
+/// Follows the configuration for as long as the process runs.
+pub async fn run(
+    app: Arc<App>,
+    platform: Arc<dyn Platform>,
+    seeds: Vec<SocketAddr>,
+    key: ProcessKey,
+) {
+    let peers: Vec<Link> = seeds
+        .into_iter()
+        .map(|addr| Link::new(addr, key.clone()))
+        .collect();
+    let mut backoff = Backoff::new(Millis::new(100), Millis::new(2_000));
+    let mut since = Version::ZERO;
+    loop {
+        match follow_once(&app, platform.as_ref(), since).await {
+            Ok(version) => {
+                since = version;
+                backoff.reset();
+            }
+            Err(error) => {
+                spdlog::warn!("event=config_not_read error=\"{error}\"");
+                ask_peers(&app, &peers).await;
+                backoff.wait().await;
+            }
+        }
+    }
+}
+
+/// Reads the configuration and waits for the next change; returns the version to watch from.
+async fn follow_once(
+    app: &App,
+    platform: &dyn Platform,
+    since: Version,
+) -> Result<Version, LoadError> {
+    let have = app.config.current();
+    if let Some(snapshot) = store::load(platform, have.as_deref()).await? {
+        put_in_force(app, snapshot);
+    }
+    let changes = platform
+        .watch(Kind::Config, HEAD, since, WATCH_WAIT)
+        .await?;
+    Ok(changes
+        .iter()
+        .map(|change| change.version)
+        .fold(since, Version::max))
+}
+
+async fn ask_peers(app: &App, peers: &[Link]) {
+    for peer in peers {
+        let Ok(client) = peer.client().await else {
+            continue;
+        };
+        let have = app.config.revision();
+        let Ok(Some(sent)) = client.config(ConfigRequest { have }).await else {
+            continue;
+        };
+        match Snapshot::from_peer(&sent) {
+            Ok(snapshot) => put_in_force(app, snapshot),
+            Err(error) => {
+                spdlog::warn!(
+                    "event=peer_config_bad peer={} error=\"{error}\"",
+                    peer.addr()
+                );
+            }
+        }
+    }
+}
+
+/// Puts a configuration in force unless it is older than the one in force.
+fn put_in_force(app: &App, snapshot: Snapshot) {
+    let revision = snapshot.revision();
+    let places = snapshot.services.targets.iter().map(|target| Place {
+        target: target.id.clone(),
+        services: target.services.clone(),
+        zone: target.zone.clone(),
+        addr: target.addr,
+    });
+    let places = places.collect();
+    if app.config.apply(snapshot) {
+        app.fleet.set(places);
+        spdlog::info!("event=config_in_force revision={revision}");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,216 @@
+//! The life of the process: start, service, graceful shutdown.
+
+use std::{fmt, io, sync::Arc};
+
+use cyc_budget::{Keeper, keeper, policy};
+use cyc_config::InForce;
+use cyc_ledger::{Flusher, flush};
+use cyc_member::{Entry as MemberEntry, Role, register};
+use cyc_obs::Metrics;
+use cyc_platform::{HttpPlatform, Platform};
+use cyc_proto::{ProcessKey, bind, peer::PeerServer as _, serve};
+use cyc_route::{Pools, health, pool};
+use cyc_settings::{EntrySettings, GrantPolicy};
+use cyc_types::{Clock, Incarnation, Millis};
+use tokio::{net::TcpListener, sync::watch};
+
+use crate::{
+    api,
+    app::{App, Options, Parts},
+    books::Books,
+    control,
+    fleet::Fleet,
+    listen,
+    peer::Rpc,
+};
+
+/// Time between two looks at the requests that are still in flight.
+const DRAIN_POLL: Millis = Millis::new(20);
+/// Time for the balancer to see that this entry is not ready, before the port closes.
+const BALANCER_NOTICE: Millis = Millis::new(200);
+
+/// Why the process ended.
+#[derive(Debug)]
+pub enum Error {
+    /// An address could not be used.
+    Listen(io::Error),
+    /// The registration in the platform is damaged.
+    Register(cyc_member::Error),
+    /// The logs or metrics could not be started.
+    Observe(String),
+    /// This incarnation was fenced; a new start registers a new one.
+    Fenced,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(error) => write!(f, "cannot listen: {error}"),
+            Self::Register(error) => write!(f, "cannot register: {error}"),
+            Self::Observe(why) => write!(f, "cannot start logs or metrics: {why}"),
+            Self::Fenced => f.write_str("this incarnation is fenced; start the process again"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Self::Listen(error)
+    }
+}
+
+/// Runs an entry until SIGTERM and its graceful shutdown.
+///
+/// # Errors
+/// See [`Error`].
+pub async fn run(settings: EntrySettings) -> Result<(), Error> {
+    let peer_listener = bind(settings.peer_addr).await?;
+    let caller_listener = TcpListener::bind(settings.caller_addr).await?;
+    let platform: Arc<dyn Platform> =
+        Arc::new(HttpPlatform::new(settings.platform.addr).with_timeout(settings.platform.timeout));
+    let member = MemberEntry {
+        role: Role::Entry,
+        vm: settings.process.vm.clone(),
+        zone: settings.process.zone.clone(),
+        addr: peer_listener.local_addr()?,
+        target: None,
+    };
+    let me = register(platform.as_ref(), &member)
+        .await
+        .map_err(Error::Register)?;
+    spdlog::info!(
+        "event=started entry={me} callers={}",
+        caller_listener.local_addr()?
+    );
+
+    let key = ProcessKey::new(settings.access.process_key.as_str());
+    let app = build(&settings, platform.clone(), me, &key)?;
+    let server = serve(peer_listener, &key, Rpc::new(app.clone()).into_rpc())?;
+    tokio::spawn(control::heartbeat::run(app.clone()));
+    tokio::spawn(control::vms::run(app.clone(), platform.clone()));
+    let seeds = settings.peers.seeds.clone();
+    tokio::spawn(control::follow::run(app.clone(), platform, seeds, key));
+
+    println!("listening on {}", caller_listener.local_addr()?);
+    let (stop, stopped) = watch::channel(false);
+    let router = api::server::router(app.clone());
+    let connections = settings.limits.max_connections;
+    let serving = tokio::spawn(listen::run(caller_listener, router, connections, stopped));
+    let mut fenced = app.fenced();
+    let is_fenced = tokio::select! {
+        () = cyc_obs::shutdown() => false,
+        _ = fenced.wait_for(|fenced| *fenced) => true,
+    };
+    shut_down(&app, settings.process.drain_limit, stop).await;
+    serving.await.map_err(io::Error::other)??;
+    server.stop().ok();
+    if is_fenced {
+        Err(Error::Fenced)
+    } else {
+        Ok(())
+    }
+}
+
+fn build(
+    settings: &EntrySettings,
+    platform: Arc<dyn Platform>,
+    me: Incarnation,
+    key: &ProcessKey,
+) -> Result<Arc<App>, Error> {
+    let clock = Clock::System;
+    let budget = keeper::Options {
+        draws: draw_options(settings),
+        ..keeper::Options::default()
+    };
+    let (purse, keeper) = Keeper::new(platform.clone(), me.clone(), clock.clone(), budget);
+    tokio::spawn(keeper.run());
+    let flush = flush::Options {
+        flush: settings.ledger.flush,
+        retry_window: settings.ledger.retry_window,
+        ..flush::Options::default()
+    };
+    let (ledger, flusher, settled) =
+        Flusher::new(platform, purse.clone(), me.clone(), clock.clone(), flush);
+    tokio::spawn(flusher.run());
+    let metrics = Metrics::start("entry", settings.process.metrics_addr)
+        .map_err(|error| Error::Observe(error.to_string()))?;
+    let app = Arc::new(App::new(Parts {
+        me,
+        zone: settings.process.zone.clone(),
+        clock: clock.clone(),
+        options: Options {
+            reserve_wait: settings.budget.reserve,
+            default_deadline: settings.limits.default_deadline,
+            max_deadline: settings.limits.max_deadline,
+            max_body: settings.limits.max_body,
+        },
+        books: Books::new(purse.clone(), ledger.clone()),
+        purse,
+        fleet: Fleet::new(
+            key.clone(),
+            cyc_route::Options::default(),
+            health::Options::default(),
+        ),
+        config: InForce::new(),
+        pools: pools(settings, &clock),
+        ledger,
+        metrics,
+    }));
+    tokio::spawn(control::release::run(app.clone(), settled));
+    Ok(app)
+}
+
+fn draw_options(settings: &EntrySettings) -> policy::Options {
+    policy::Options {
+        policy: match settings.budget.policy {
+            GrantPolicy::Equal => policy::Policy::Equal,
+            GrantPolicy::Fixed => policy::Policy::Fixed,
+            GrantPolicy::Adaptive => policy::Policy::Adaptive,
+        },
+        weight: settings.budget.weight,
+        idle: settings.budget.idle,
+        ..policy::Options::default()
+    }
+}
+
+fn pools(settings: &EntrySettings, clock: &Clock) -> Pools {
+    use cyc_proto::sidecar::RouteClass;
+    let limits = &settings.limits;
+    let options = |class| pool::Options {
+        slots: match class {
+            RouteClass::Status => limits.status_slots,
+            RouteClass::Booking => limits.booking_slots,
+            RouteClass::Drafting => limits.drafting_slots,
+        },
+        queue: limits.queue,
+        ..pool::Options::default()
+    };
+    Pools::new(options, clock)
+}
+
+/// Refuses new requests, finishes those in flight, then writes and returns what is left.
+async fn shut_down(app: &App, limit: Millis, stop: watch::Sender<bool>) {
+    let until = app.clock.now() + limit;
+    app.drain();
+    spdlog::info!("event=draining in_flight={}", app.in_flight());
+    tokio::time::sleep(BALANCER_NOTICE.duration()).await;
+    while app.in_flight() > 0 && app.clock.now() < until {
+        tokio::time::sleep(DRAIN_POLL.duration()).await;
+    }
+    stop.send_replace(true);
+    let left = || until.saturating_sub(app.clock.now()).max(Millis::SECOND);
+    let ledger = app.ledger.close(left()).await;
+    if ledger.unflushed + ledger.unsettled > 0 {
+        spdlog::error!(
+            "event=not_flushed unflushed={} unsettled={}",
+            ledger.unflushed,
+            ledger.unsettled
+        );
+    }
+    for (budget, tokens, why) in app.purse.close(left()).await.kept {
+        spdlog::error!("event=grant_kept budget={budget} tokens={tokens} why=\"{why}\"");
+    }
+    spdlog::info!("event=stopped in_flight={}", app.in_flight());
+}
--- /dev/null
+++ b/crates/entry/src/fleet.rs
@@ -0,0 +1,323 @@
+//! The sidecars as this entry knows them, and the choice among their targets.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use cyc_proto::{Link, ProcessKey, sidecar::HeartbeatReply};
+use cyc_route::{Ask, Failure, Health, Options, Target, candidates, choose, health};
+use cyc_types::{AvailabilityZone, Incarnation, Millis, ServiceId, TargetId};
+
+/// Hashes of cached prefixes kept for each target.
+const PREFIX_CAPACITY: usize = 4_096;
+/// How long a cached prefix is believed in after its last note.
+const PREFIX_TTL: Millis = Millis::new(10 * 60_000);
+
+/// A target of the configuration, as the fleet needs it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// The target.
+    pub target: TargetId,
+    /// The services that it takes part in.
+    pub services: Vec<ServiceId>,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// The address of its sidecar.
+    pub addr: SocketAddr,
+}
+
+/// One sidecar.
+#[derive(Debug)]
+pub struct Sidecar {
+    /// The target.
+    pub target: TargetId,
+    /// The connection.
+    pub link: Link,
+    seen: Mutex<Seen>,
+}
+
+/// What the last heartbeats told.
+#[derive(Debug, Clone, Default)]
+pub struct Seen {
+    /// The last answer.
+    pub reply: Option<HeartbeatReply>,
+    /// Heartbeats without an answer since then.
+    pub missed: u32,
+    /// True if the VM list says that the VM is leaving.
+    pub leaving: bool,
+}
+
+impl Sidecar {
+    fn lock(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what the last heartbeats told.
+    pub fn seen(&self) -> Seen {
+        self.lock().clone()
+    }
+
+    /// Returns the sidecar incarnation that answered last.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.lock()
+            .reply
+            .as_ref()
+            .map(|reply| reply.sidecar.clone())
+    }
+
+    /// Returns true if the VM list says that the VM is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.lock().leaving
+    }
+}
+
+/// One row of the fleet: the sidecar, and its target as input of decisions.
+#[derive(Debug)]
+struct Row {
+    place: Place,
+    sidecar: Arc<Sidecar>,
+    health: Health,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    /// Invariant: `targets[i]` is the target of `rows[i]`.
+    rows: Vec<Row>,
+    targets: Vec<Target>,
+    index: BTreeMap<TargetId, usize>,
+    turn: u64,
+}
+
+/// All sidecars of the configuration in force.
+#[derive(Debug)]
+pub struct Fleet {
+    key: ProcessKey,
+    options: Options,
+    health: health::Options,
+    rows: Mutex<Rows>,
+}
+
+/// A request in flight at a target, counted until it is dropped.
+#[derive(Debug)]
+pub struct InFlight<'a> {
+    fleet: &'a Fleet,
+    target: TargetId,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.fleet
+            .with_target(&self.target, |target, _| target.load.end());
+    }
+}
+
+/// # Configuration
+impl Fleet {
+    /// Creates an empty fleet.
+    pub fn new(key: ProcessKey, options: Options, health: health::Options) -> Self {
+        Self {
+            key,
+            options,
+            health,
+            rows: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Follows the configuration: adds new targets and drops those that are gone or have moved.
+    pub fn set(&self, places: Vec<Place>) {
+        let mut rows = self.lock();
+        let old_rows = std::mem::take(&mut rows.rows);
+        let old_targets = std::mem::take(&mut rows.targets);
+        let mut old: BTreeMap<TargetId, (Row, Target)> = old_rows
+            .into_iter()
+            .zip(old_targets)
+            .map(|(row, target)| (row.place.target.clone(), (row, target)))
+            .collect();
+        for place in places {
+            let kept = old
+                .remove(&place.target)
+                .filter(|(row, _)| row.place == place);
+            let (row, target) = kept.unwrap_or_else(|| self.new_row(place));
+            rows.rows.push(row);
+            rows.targets.push(target);
+        }
+        rows.index = rows
+            .rows
+            .iter()
+            .enumerate()
+            .map(|(index, row)| (row.place.target.clone(), index))
+            .collect();
+    }
+
+    fn new_row(&self, place: Place) -> (Row, Target) {
+        let link = Link::new(place.addr, self.key.clone());
+        let sidecar = Arc::new(Sidecar {
+            target: place.target.clone(),
+            link,
+            seen: Mutex::default(),
+        });
+        let mut target = Target::new(
+            place.target.clone(),
+            place.services.clone(),
+            place.zone.clone(),
+        );
+        target.prefixes = cyc_route::PrefixCache::new(PREFIX_CAPACITY, PREFIX_TTL);
+        let health = Health::new(self.health.clone());
+        (
+            Row {
+                place,
+                sidecar,
+                health,
+            },
+            target,
+        )
+    }
+
+    /// Returns the sidecar of a target.
+    pub fn get(&self, target: &TargetId) -> Option<Arc<Sidecar>> {
+        let rows = self.lock();
+        rows.index
+            .get(target)
+            .map(|index| rows.rows[*index].sidecar.clone())
+    }
+
+    /// Returns all sidecars.
+    pub fn all(&self) -> Vec<Arc<Sidecar>> {
+        self.lock()
+            .rows
+            .iter()
+            .map(|row| row.sidecar.clone())
+            .collect()
+    }
+
+    /// Returns the number of sidecars that answered the last heartbeat.
+    pub fn reachable(&self) -> usize {
+        let answered = |row: &&Row| {
+            let seen = row.sidecar.lock();
+            seen.reply.is_some() && seen.missed == 0
+        };
+        self.lock().rows.iter().filter(answered).count()
+    }
+
+    fn with_target<T>(
+        &self,
+        id: &TargetId,
+        f: impl FnOnce(&mut Target, &mut Row) -> T,
+    ) -> Option<T> {
+        let mut rows = self.lock();
+        let index = *rows.index.get(id)?;
+        let Rows { rows, targets, .. } = &mut *rows;
+        Some(f(&mut targets[index], &mut rows[index]))
+    }
+}
+
+/// # Signs of life
+impl Fleet {
+    /// Returns the mark that [`Fleet::answered`] needs, taken before a heartbeat is sent.
+    pub fn mark(&self, target: &TargetId) -> u64 {
+        self.with_target(target, |target, _| target.load.mark())
+            .unwrap_or_default()
+    }
+
+    /// Takes in an answer to a heartbeat. Returns true if another incarnation answered before.
+    pub fn answered(&self, reply: HeartbeatReply, mark: u64, now: Millis) -> bool {
+        let id = reply.target.clone();
+        let is_new = self.with_target(&id, |target, row| {
+            let mut seen = row.sidecar.lock();
+            let before = seen.reply.as_ref().map(|reply| &reply.sidecar);
+            let is_new = before.is_some_and(|before| *before != reply.sidecar);
+            if is_new {
+                target.load.clear();
+                target.prefixes.clear();
+            }
+            target.load.report(&reply.load, mark);
+            target.models = reply.load.models.clone();
+            target.prefixes.note(&reply.load.prefixes, now);
+            target.draining = reply.draining || seen.leaving;
+            row.health.alive(now);
+            seen.missed = 0;
+            seen.reply = Some(reply);
+            is_new
+        });
+        is_new.unwrap_or_default()
+    }
+
+    /// Counts a heartbeat without an answer; a target that misses several is ejected.
+    pub fn missed(&self, target: &TargetId, now: Millis) {
+        self.with_target(target, |_, row| {
+            row.sidecar.lock().missed += 1;
+            row.health.fail(Failure::NotReached, now);
+        });
+    }
+
+    /// Notes what the VM list says of a target's VM.
+    pub fn set_leaving(&self, target: &TargetId, leaving: bool) {
+        self.with_target(target, |target, row| {
+            let mut seen = row.sidecar.lock();
+            seen.leaving = leaving;
+            let draining = seen.reply.as_ref().is_some_and(|reply| reply.draining);
+            target.draining = draining || leaving;
+        });
+    }
+
+    /// Notes how a request ended at a target.
+    pub fn note(&self, target: &TargetId, result: Result<(), Failure>, now: Millis) {
+        self.with_target(target, |_, row| match result {
+            Ok(()) => row.health.succeed(now),
+            Err(failure) => row.health.fail(failure, now),
+        });
+    }
+
+    /// Counts a request at a target until the result is dropped.
+    pub fn begin(&self, target: &TargetId, prefixes: &[u64], now: Millis) -> InFlight<'_> {
+        self.with_target(target, |known, row| {
+            known.load.start();
+            known.prefixes.note(prefixes, now);
+            row.health.start(now);
+        });
+        InFlight {
+            fleet: self,
+            target: target.clone(),
+        }
+    }
+}
+
+/// # Choice
+impl Fleet {
+    /// Returns the best target that is not in `tried` and has answered a heartbeat.
+    pub fn choose(&self, ask: &Ask<'_>, tried: &[TargetId]) -> Option<Arc<Sidecar>> {
+        let mut rows = self.lock();
+        rows.turn += 1;
+        let ask = Ask {
+            turn: rows.turn,
+            ..ask.clone()
+        };
+        let Rows { rows, targets, .. } = &mut *rows;
+        for (row, target) in rows.iter().zip(targets.iter_mut()) {
+            target.standing = row.health.standing(ask.now);
+        }
+        let ranked = choose(targets, &ask, &self.options);
+        let open = ranked.into_iter().map(|index| &rows[index].sidecar);
+        open.filter(|sidecar| !tried.contains(&sidecar.target))
+            .find(|sidecar| sidecar.incarnation().is_some())
+            .cloned()
+    }
+
+    /// Returns the targets, in the order of rendezvous hashing, at which a retry of the request
+    /// finds it.
+    pub fn candidates(&self, ask: &Ask<'_>) -> Vec<Arc<Sidecar>> {
+        let rows = self.lock();
+        let count = self.options.candidates;
+        let found = candidates(&rows.targets, ask.service, ask.model, ask.key, count);
+        found
+            .into_iter()
+            .map(|index| rows.rows[index].sidecar.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/listen.rs
@@ -0,0 +1,84 @@
+//! The HTTP server for callers: bounded connections, and a header timeout against slow callers.
+
+use std::{io, sync::Arc, time::Duration};
+
+use axum::Router;
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+    service::TowerToHyperService,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+};
+
+/// How long a caller may take to send the headers of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The most headers of a request.
+const MAX_HEADERS: usize = 64;
+/// Pause after an error of `accept`, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves `router` until `stop` turns true; then finishes the open requests.
+///
+/// # Errors
+/// An I/O error if the listener cannot be used.
+pub async fn run(
+    listener: TcpListener,
+    router: Router,
+    max_connections: usize,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_headers(MAX_HEADERS);
+    let slots = Arc::new(Semaphore::new(max_connections));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let slot = tokio::select! {
+            slot = slots.clone().acquire_owned() => slot.map_err(io::Error::other)?,
+            () = stopped(&mut stop) => break,
+        };
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    spdlog::warn!("event=accept_failed error=\"{error}\"");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+            () = stopped(&mut stop) => break,
+        };
+        set_nodelay(&stream);
+        let service = TowerToHyperService::new(router.clone());
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _slot = slot;
+            // A caller that breaks its connection ends only its own requests.
+            watched.await.ok();
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    Ok(())
+}
+
+/// Answers are streams of small pieces, which must not wait for each other.
+fn set_nodelay(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        spdlog::debug!("event=nodelay_failed error=\"{error}\"");
+    }
+}
+
+/// Waits until the process stops listening, or is gone.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    stop.wait_for(|stop| *stop).await.ok();
+}
--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,112 @@
+//! The calls that an entry serves to its peers and to the operators' command.
+
+use std::sync::Arc;
+
+use cyc_config::Revised as _;
+use cyc_proto::peer::{
+    ConfigRequest, ConfigSnapshot, EntryStatus, LendReply, LendRequest, PeerServer, RepayRequest,
+    SidecarStatus,
+};
+use cyc_types::{Revision, Tokens};
+use jsonrpsee::core::{RpcResult, async_trait};
+
+use crate::{app::App, fleet::Sidecar};
+
+/// Serves the calls of one entry.
+pub struct Rpc {
+    app: Arc<App>,
+}
+
+impl Rpc {
+    /// Serves the calls of `app`.
+    pub fn new(app: Arc<App>) -> Self {
+        Self { app }
+    }
+}
+
+#[async_trait]
+impl PeerServer for Rpc {
+    async fn lend(&self, req: LendRequest) -> RpcResult<LendReply> {
+        if self.app.is_draining() {
+            return Ok(LendReply {
+                grant: None,
+                lent: Tokens::ZERO,
+            });
+        }
+        let borrower = (req.borrower, req.loan);
+        let loan = self
+            .app
+            .purse
+            .with_wallet(|wallet| wallet.lend(borrower, &req.budget, req.want, req.least));
+        Ok(match loan {
+            Some((grant, lent)) => LendReply {
+                grant: Some(grant),
+                lent,
+            },
+            None => LendReply {
+                grant: None,
+                lent: Tokens::ZERO,
+            },
+        })
+    }
+
+    async fn repay(&self, req: RepayRequest) -> RpcResult<()> {
+        let borrower = (req.borrower, req.repayment);
+        self.app
+            .purse
+            .with_wallet(|wallet| wallet.repay(borrower, &req.grant, req.tokens));
+        Ok(())
+    }
+
+    async fn config(&self, req: ConfigRequest) -> RpcResult<Option<ConfigSnapshot>> {
+        let current = self.app.config.current();
+        Ok(current
+            .filter(|current| current.revision() > req.have)
+            .map(|current| current.to_peer()))
+    }
+
+    async fn status(&self) -> RpcResult<EntryStatus> {
+        let (idle, reserved) = held(&self.app);
+        let ledger = self.app.ledger.status();
+        Ok(EntryStatus {
+            entry: self.app.me.clone(),
+            revision: self.app.config.revision(),
+            draining: self.app.is_draining(),
+            in_flight: self.app.in_flight(),
+            idle,
+            reserved,
+            unflushed: ledger.unflushed + ledger.unsettled,
+            sidecars: self
+                .app
+                .fleet
+                .all()
+                .iter()
+                .map(|sidecar| sidecar_status(sidecar))
+                .collect(),
+        })
+    }
+}
+
+fn held(app: &App) -> (Tokens, Tokens) {
+    app.purse.with_wallet(|wallet| {
+        let holdings: Vec<_> = wallet
+            .budgets()
+            .iter()
+            .map(|budget| wallet.holding(budget))
+            .collect();
+        let idle = holdings.iter().map(|holding| holding.free).sum();
+        (idle, holdings.iter().map(|holding| holding.reserved).sum())
+    })
+}
+
+fn sidecar_status(sidecar: &Sidecar) -> SidecarStatus {
+    let seen = sidecar.seen();
+    let reply = seen.reply.as_ref();
+    SidecarStatus {
+        target: sidecar.target.clone(),
+        sidecar: reply.map(|reply| reply.sidecar.clone()),
+        revision: reply.map_or(Revision::ZERO, |reply| reply.revision),
+        draining: seen.leaving || reply.is_some_and(|reply| reply.draining),
+        reachable: reply.is_some() && seen.missed == 0,
+    }
+}
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -39,6 +39,7 @@
         account: "dala".parse().unwrap(),
         grant: grant(holder),
         entry: entry(writer),
+        attempt: 0,
         service: "drafts".parse().unwrap(),
         tokens: Tokens::new(tokens),
         at: Millis::ZERO,
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,7 +4,9 @@
 //! starts share an [`Incarnation`].
 
 pub mod backoff;
+pub mod fence;
 pub mod registry;
 
 pub use backoff::Backoff;
+pub use fence::Fences;
 pub use registry::{Entry, Error, Member, Role, find, list, register};
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -124,10 +124,6 @@
     #[method(name = "config")]
     async fn config(&self, req: ConfigRequest) -> RpcResult<Option<ConfigSnapshot>>;
 
-    /// Returns all fences that this entry knows.
-    #[method(name = "fences")]
-    async fn fences(&self) -> RpcResult<Vec<Incarnation>>;
-
     /// Returns the state of this entry.
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<EntryStatus>;
--- a/crates/proto/src/receipt.rs
+++ b/crates/proto/src/receipt.rs
@@ -52,6 +52,8 @@
     pub grant: GrantId,
     /// The entry incarnation that started the run and settles it.
     pub entry: Incarnation,
+    /// Number of the attempt within that entry.
+    pub attempt: u64,
     /// The service that ran.
     pub service: ServiceId,
     /// The tokens used. Invariant: at most the tokens that were reserved for the run.
--- a/crates/proto/src/serve.rs
+++ b/crates/proto/src/serve.rs
@@ -25,15 +25,24 @@
 /// Messages that may wait on one connection before its senders wait.
 const MESSAGE_BUFFER: u32 = 4_096;
 
-/// Serves `methods` on `addr` and returns the bound address and a handle that stops the server.
+/// Binds the address of a process. While a predecessor holds it this fails, so that success proves
+/// that the predecessor has ended.
 ///
 /// # Errors
-/// An I/O error if the address cannot be bound, for example while a predecessor still holds it.
-pub async fn serve(
-    addr: SocketAddr,
-    key: &str,
+/// An I/O error if the address cannot be bound.
+pub async fn bind(addr: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    tokio::net::TcpListener::bind(addr).await?.into_std()
+}
+
+/// Serves `methods` on a bound listener and returns a handle that stops the server.
+///
+/// # Errors
+/// An I/O error if the listener cannot be used.
+pub fn serve(
+    listener: std::net::TcpListener,
+    key: &ProcessKey,
     methods: impl Into<Methods>,
-) -> std::io::Result<(SocketAddr, ServerHandle)> {
+) -> std::io::Result<ServerHandle> {
     let cfg = ServerConfig::builder()
         .ws_only()
         .max_request_body_size(MAX_MESSAGE_BYTES)
@@ -44,10 +53,12 @@
         .enable_ws_ping(PingConfig::new())
         .set_tcp_no_delay(true)
         .build();
-    let access = ServiceBuilder::new().layer(AccessLayer::new(key));
-    let server = Server::builder().set_config(cfg).set_http_middleware(access).build(addr).await?;
-    let bound = server.local_addr()?;
-    Ok((bound, server.start(methods)))
+    let access = ServiceBuilder::new().layer(AccessLayer::new(key.expose()));
+    let server = Server::builder()
+        .set_config(cfg)
+        .set_http_middleware(access)
+        .build_from_tcp(listener)?;
+    Ok(server.start(methods))
 }
 
 /// Refuses connections that do not carry the shared key, with status 401.
@@ -59,7 +70,9 @@
 impl AccessLayer {
     /// Creates the layer for the shared key.
     pub fn new(key: &str) -> Self {
-        Self { bearer: format!("Bearer {key}").into() }
+        Self {
+            bearer: format!("Bearer {key}").into(),
+        }
     }
 }
 
@@ -67,7 +80,10 @@
     type Service = Access<S>;
 
     fn layer(&self, inner: S) -> Self::Service {
-        Access { inner, bearer: self.bearer.clone() }
+        Access {
+            inner,
+            bearer: self.bearer.clone(),
+        }
     }
 }
 
@@ -109,7 +125,10 @@
 
 impl<S> Access<S> {
     fn allows<B>(&self, req: &HttpRequest<B>) -> bool {
-        let given = req.headers().get("authorization").map(|value| value.as_bytes());
+        let given = req
+            .headers()
+            .get("authorization")
+            .map(|value| value.as_bytes());
         given.is_some_and(|given| same_bytes(given, self.bearer.as_bytes()))
     }
 }
--- a/crates/proto/src/sidecar.rs
+++ b/crates/proto/src/sidecar.rs
@@ -1,8 +1,8 @@
 //! Calls from an entry to a sidecar.
 
 use cyc_types::{
-    BudgetId, ClientAccountId, ErrorKind, Incarnation, Millis, Refusal, RequestId, Revision,
-    ServiceId, TargetId, Tokens,
+    ClientAccountId, ErrorKind, Incarnation, Millis, Refusal, RequestId, Revision, ServiceId,
+    TargetId, Tokens,
 };
 use jsonrpsee::{core::RpcResult, core::SubscriptionResult, proc_macros::rpc};
 use serde::{Deserialize, Serialize};
@@ -70,6 +70,9 @@
     pub request: RequestId,
     /// The entry incarnation that asks.
     pub entry: Incarnation,
+    /// The sidecar incarnation that is asked; any other refuses. So a request that may have
+    /// reached a sidecar is never taken for one that its successor has not seen.
+    pub sidecar: Incarnation,
     /// Number of the attempt within this entry; with `entry` it names one attempt.
     pub attempt: u64,
     /// The client account.
@@ -185,22 +188,38 @@
     pub entry: Incarnation,
     /// The attempt.
     pub attempt: u64,
+    /// The sidecar incarnation that the attempt was sent to.
+    pub sidecar: Incarnation,
 }
 
 /// What a sidecar knows of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OutcomeReply {
+    /// The incarnation that was asked has ended, with all its runs. They may have run.
+    Gone,
     /// Not seen, and the attempt is barred now: it will not run here.
     Barred,
     /// Waiting for a claim or a slot; it may still run.
     Waiting,
     /// Running, or finished and buffered.
-    Here,
+    Here {
+        /// True if the attempt that was asked about is the one that runs and is billed.
+        mine: bool,
+    },
+    /// Finished, and nothing is billed for it.
+    Unbilled,
     /// Refused, not run here.
     NotRun(ErrorKind),
 }
 
+/// Asks whether a request is here, without barring anything.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FindRequest {
+    /// The request.
+    pub request: RequestId,
+}
+
 /// Fences every incarnation of a VM below `lowest` and asks for its receipts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FenceRequest {
@@ -233,6 +252,8 @@
 /// Tells a sidecar that the ledger has these receipts, so that it may drop them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseRequest {
+    /// The entry incarnation that started the runs.
+    pub entry: Incarnation,
     /// The requests whose receipts are settled.
     pub requests: Vec<RequestId>,
 }
@@ -298,15 +319,6 @@
     pub services: String,
 }
 
-/// The spending of one budget that a sidecar has not been told to release, for `cyclamen status`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Unreleased {
-    /// The budget.
-    pub budget: BudgetId,
-    /// The tokens.
-    pub tokens: Tokens,
-}
-
 /// Calls that a sidecar serves.
 #[rpc(server, client, namespace = "sidecar")]
 pub trait Sidecar {
@@ -322,6 +334,10 @@
     #[method(name = "outcome")]
     async fn outcome(&self, req: OutcomeQuery) -> RpcResult<OutcomeReply>;
 
+    /// Tells whether a request waits, runs or is buffered here.
+    #[method(name = "find")]
+    async fn find(&self, req: FindRequest) -> RpcResult<bool>;
+
     /// Cancels a run; what it has used so far is billed. Answers true if it was running.
     #[method(name = "cancel")]
     async fn cancel(&self, req: CancelRequest) -> RpcResult<bool>;
--- /dev/null
+++ b/crates/quickstart/src/deploy.rs
@@ -0,0 +1,422 @@
+//! Starts and stops the processes of a deployment.
+
+use std::{
+    fmt, fs, io,
+    net::SocketAddr,
+    path::PathBuf,
+    process,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use cyc_budget::{Payment, SHARDS, top_up};
+use cyc_config::{Document, Revised as _, store};
+use cyc_platform::HttpPlatform;
+use cyc_standin::{
+    client::Client,
+    process::{Process, Signal},
+    relay::TcpRelay,
+};
+use cyc_types::{Clock, Millis, Revision, Tokens};
+
+use crate::{
+    caller::Caller,
+    layout::{self, DocumentError, Layout, PROCESS_KEY, TargetKind},
+};
+
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(10);
+/// How long a condition is waited for before the deployment is taken for broken.
+const CONDITION_LIMIT: Duration = Duration::from_secs(60);
+
+/// Why a deployment does not work.
+#[derive(Debug)]
+pub enum Error {
+    /// A file or a socket failed.
+    Io(io::Error),
+    /// A process could not be controlled.
+    Process(cyc_standin::process::Error),
+    /// A stand-in gave no answer.
+    Client(cyc_standin::client::Error),
+    /// The document could not be written.
+    Document(DocumentError),
+    /// Something was refused.
+    Refused(String),
+    /// A condition did not come about.
+    Condition(&'static str),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(error) => error.fmt(f),
+            Self::Process(error) => error.fmt(f),
+            Self::Client(error) => error.fmt(f),
+            Self::Document(error) => write!(f, "the document: {error:?}"),
+            Self::Refused(why) => write!(f, "refused: {why}"),
+            Self::Condition(what) => write!(f, "did not come about: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+macro_rules! from_error {
+    ($($variant:ident($error:ty)),*) => {$(
+        impl From<$error> for Error {
+            fn from(error: $error) -> Self {
+                Self::$variant(error)
+            }
+        }
+    )*};
+}
+from_error!(
+    Io(io::Error),
+    Process(cyc_standin::process::Error),
+    Client(cyc_standin::client::Error),
+    Document(DocumentError)
+);
+
+/// One target with its sidecar.
+#[derive(Debug)]
+pub struct TargetSlot {
+    /// What it is.
+    pub kind: TargetKind,
+    /// Number among its kind.
+    pub number: usize,
+    /// The target itself.
+    pub target: Process,
+    /// Its sidecar; `None` while it is stopped.
+    pub sidecar: Option<Process>,
+    /// Where the sidecar listens, the same after a restart.
+    pub addr: SocketAddr,
+    /// The relay on the way from entries to the sidecar.
+    pub relay: TcpRelay,
+    /// The relay on the way from the sidecar to the platform.
+    pub to_platform: TcpRelay,
+}
+
+/// One entry.
+#[derive(Debug)]
+pub struct EntrySlot {
+    /// The process; `None` while it is stopped.
+    pub process: Option<Process>,
+    /// Where it listens for callers, the same after a restart.
+    pub addr: SocketAddr,
+    /// The relay on the way from the entry to the platform.
+    pub to_platform: TcpRelay,
+}
+
+/// A running deployment. All its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Deployment {
+    /// What it consists of.
+    pub layout: Layout,
+    /// The stand-in of the platform.
+    pub platform: Process,
+    /// The targets: engines first.
+    pub targets: Vec<TargetSlot>,
+    /// The entries.
+    pub entries: Vec<EntrySlot>,
+    dir: PathBuf,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // The files are small and in the temporary folder; there is nobody to tell.
+        fs::remove_dir_all(&self.dir).ok();
+    }
+}
+
+/// # Start
+impl Deployment {
+    /// Starts everything, submits the document and waits until the entries are ready.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub async fn start(layout: Layout) -> Result<Self, Error> {
+        static COUNT: AtomicU64 = AtomicU64::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("cyclamenlead-{}-{number}", process::id()));
+        fs::create_dir_all(&dir)?;
+        let platform = Process::start("standin-platform", &[])?;
+        let mut deployment = Self {
+            layout,
+            platform,
+            targets: Vec::new(),
+            entries: Vec::new(),
+            dir,
+        };
+        for number in 0..deployment.layout.engines {
+            deployment.add_target(TargetKind::Engine, number).await?;
+        }
+        for number in 0..deployment.layout.desks {
+            deployment.add_target(TargetKind::Desk, number).await?;
+        }
+        deployment.submit().await?;
+        for number in 0..deployment.layout.entries {
+            deployment.add_entry(number).await?;
+        }
+        deployment.wait_ready().await?;
+        Ok(deployment)
+    }
+
+    async fn add_target(&mut self, kind: TargetKind, number: usize) -> Result<(), Error> {
+        let args: Vec<&str> = self.layout.engine_args.iter().map(String::as_str).collect();
+        let target = match kind {
+            TargetKind::Engine => Process::start("standin-engine", &args)?,
+            TargetKind::Desk => Process::start("standin-service", &[])?,
+        };
+        let to_platform = TcpRelay::start(self.platform.addr()).await?;
+        let text = self.sidecar_settings(
+            kind,
+            number,
+            &target,
+            &to_platform,
+            ([127, 0, 0, 1], 0).into(),
+        );
+        let sidecar = self.start_daemon("sidecar", &target_name(kind, number), &text)?;
+        let addr = sidecar.addr();
+        let relay = TcpRelay::start(addr).await?;
+        let sidecar = Some(sidecar);
+        self.targets.push(TargetSlot {
+            kind,
+            number,
+            target,
+            sidecar,
+            addr,
+            relay,
+            to_platform,
+        });
+        Ok(())
+    }
+
+    async fn add_entry(&mut self, number: usize) -> Result<(), Error> {
+        let to_platform = TcpRelay::start(self.platform.addr()).await?;
+        let text = self.entry_settings(number, &to_platform, ([127, 0, 0, 1], 0).into());
+        let process = self.start_daemon("entry", &format!("entry-{number}"), &text)?;
+        let addr = process.addr();
+        self.entries.push(EntrySlot {
+            process: Some(process),
+            addr,
+            to_platform,
+        });
+        Ok(())
+    }
+
+    fn start_daemon(&self, program: &str, name: &str, text: &str) -> Result<Process, Error> {
+        let path = self.dir.join(format!("{name}.ini"));
+        fs::write(&path, text)?;
+        Ok(Process::start(program, &[&path.to_string_lossy()])?)
+    }
+
+    fn sidecar_settings(
+        &self,
+        kind: TargetKind,
+        number: usize,
+        target: &Process,
+        to_platform: &TcpRelay,
+        addr: SocketAddr,
+    ) -> String {
+        let name = target_name(kind, number);
+        let kind = match kind {
+            TargetKind::Engine => "engine",
+            TargetKind::Desk => "service",
+        };
+        let mut lines = vec![
+            ("process", format!("vm = vm-{name}")),
+            ("process", format!("zone = {}", layout::zone(number))),
+            ("process", format!("target = {name}")),
+            ("process", format!("rpc_addr = {addr}")),
+            ("process", String::from("log_level = warn")),
+            ("platform", format!("addr = {}", to_platform.addr())),
+            ("access", format!("process_key = {PROCESS_KEY}")),
+            ("target", format!("addr = {}", target.addr())),
+            ("target", format!("kind = {kind}")),
+            ("target", String::from("load_ms = 100")),
+        ];
+        lines.extend(self.layout.sidecar_settings.iter().cloned());
+        layout::settings_text(&lines)
+    }
+
+    fn entry_settings(&self, number: usize, to_platform: &TcpRelay, addr: SocketAddr) -> String {
+        let mut lines = vec![
+            ("process", format!("vm = vm-entry-{number}")),
+            ("process", format!("zone = {}", layout::zone(number))),
+            ("process", format!("caller_addr = {addr}")),
+            ("process", String::from("peer_addr = 127.0.0.2:0")),
+            ("process", String::from("log_level = warn")),
+            ("platform", format!("addr = {}", to_platform.addr())),
+            ("access", format!("process_key = {PROCESS_KEY}")),
+            ("ledger", String::from("flush_ms = 100")),
+        ];
+        lines.extend(self.layout.entry_settings.iter().cloned());
+        layout::settings_text(&lines)
+    }
+}
+
+fn target_name(kind: TargetKind, number: usize) -> String {
+    match kind {
+        TargetKind::Engine => format!("engine-{number}"),
+        TargetKind::Desk => format!("desk-{number}"),
+    }
+}
+
+/// # Restart
+impl Deployment {
+    /// Starts the sidecar of a target again at its old address.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub fn restart_sidecar(&mut self, index: usize) -> Result<(), Error> {
+        let slot = &self.targets[index];
+        let text = self.sidecar_settings(
+            slot.kind,
+            slot.number,
+            &slot.target,
+            &slot.to_platform,
+            slot.addr,
+        );
+        let name = target_name(slot.kind, slot.number);
+        self.targets[index].sidecar = Some(self.start_daemon("sidecar", &name, &text)?);
+        Ok(())
+    }
+
+    /// Starts an entry again at its old address.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub fn restart_entry(&mut self, index: usize) -> Result<(), Error> {
+        let slot = &self.entries[index];
+        let text = self.entry_settings(index, &slot.to_platform, slot.addr);
+        let process = self.start_daemon("entry", &format!("entry-{index}"), &text)?;
+        self.entries[index].process = Some(process);
+        Ok(())
+    }
+
+    /// Sends a signal to an entry.
+    ///
+    /// # Errors
+    /// If the entry does not run.
+    pub fn signal_entry(&self, index: usize, signal: Signal) -> Result<(), Error> {
+        let process = self.entries[index].process.as_ref();
+        Ok(process
+            .ok_or(Error::Condition("the entry runs"))?
+            .signal(signal)?)
+    }
+
+    /// Sends a signal to the sidecar of a target.
+    ///
+    /// # Errors
+    /// If the sidecar does not run.
+    pub fn signal_sidecar(&self, index: usize, signal: Signal) -> Result<(), Error> {
+        let process = self.targets[index].sidecar.as_ref();
+        Ok(process
+            .ok_or(Error::Condition("the sidecar runs"))?
+            .signal(signal)?)
+    }
+}
+
+/// # Operators and callers
+impl Deployment {
+    /// Returns a client of the platform that no relay stands before.
+    pub fn platform_client(&self) -> HttpPlatform {
+        HttpPlatform::new(self.platform.addr()).with_timeout(Millis::new(5_000))
+    }
+
+    /// Returns a client of the stand-in's administration.
+    pub fn platform_admin(&self) -> Client {
+        Client::new(self.platform.addr())
+    }
+
+    /// Returns a caller of an account at an entry.
+    pub fn caller(&self, entry: usize, account: &str) -> Caller {
+        Caller::new(self.entries[entry].addr, account)
+    }
+
+    /// Returns the document for the processes that run.
+    ///
+    /// # Errors
+    /// If it is not valid.
+    pub fn document(&self) -> Result<Document, Error> {
+        let addrs = |kind| -> Vec<SocketAddr> {
+            let slots = self.targets.iter().filter(|slot| slot.kind == kind);
+            slots.map(|slot| slot.relay.addr()).collect()
+        };
+        let (engines, desks) = (addrs(TargetKind::Engine), addrs(TargetKind::Desk));
+        Ok(layout::document(&self.layout, &engines, &desks)?)
+    }
+
+    /// Submits the document.
+    ///
+    /// # Errors
+    /// If it is refused.
+    pub async fn submit(&self) -> Result<Revision, Error> {
+        let doc = self.document()?;
+        store::submit(&self.platform_client(), &doc, None)
+            .await
+            .map_err(|error| Error::Refused(error.to_string()))
+    }
+
+    /// Pays tokens into the budget of an account.
+    ///
+    /// # Errors
+    /// If the payment is refused.
+    pub async fn top_up(&self, account: &str, id: &str, tokens: u64) -> Result<(), Error> {
+        let refused = |why: String| Error::Refused(why);
+        let payment = Payment {
+            budget: account.parse().map_err(|_| refused(account.to_owned()))?,
+            account: account.parse().map_err(|_| refused(account.to_owned()))?,
+            id: id.into(),
+            tokens: Tokens::new(tokens),
+            at: Clock::System.wall(),
+        };
+        let paid = top_up(&self.platform_client(), SHARDS, payment).await;
+        paid.map(drop)
+            .map_err(|error| Error::Refused(format!("{error:?}")))
+    }
+
+    /// Waits until every entry is ready and has heard of every sidecar that runs.
+    ///
+    /// # Errors
+    /// [`Error::Condition`] if that does not come about.
+    pub async fn wait_ready(&self) -> Result<(), Error> {
+        let snapshot = store::load(&self.platform_client(), None)
+            .await
+            .map_err(|error| Error::Refused(format!("{error:?}")))?
+            .ok_or(Error::Condition("a document is accepted"))?;
+        let revision = snapshot.revision();
+        for slot in self.entries.iter().filter(|slot| slot.process.is_some()) {
+            let client = Client::new(slot.addr);
+            wait_until("every entry is ready", || async {
+                let ready = client.get("/readyz").await;
+                let text = ready.map(|answer| answer.text).unwrap_or_default();
+                let running = self
+                    .targets
+                    .iter()
+                    .filter(|slot| slot.sidecar.is_some())
+                    .count();
+                text.trim() == format!("ready revision={revision} sidecars={running}")
+            })
+            .await?;
+        }
+        Ok(())
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+/// [`Error::Condition`] if it does not hold after a long time.
+pub async fn wait_until<F>(what: &'static str, mut holds: impl FnMut() -> F) -> Result<(), Error>
+where
+    F: Future<Output = bool>,
+{
+    let waiting = async {
+        while !holds().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    let waited = tokio::time::timeout(CONDITION_LIMIT, waiting).await;
+    waited.map_err(|_| Error::Condition(what))
+}
--- /dev/null
+++ b/crates/quickstart/src/lib.rs
@@ -0,0 +1,11 @@
+//! A whole deployment as separate processes on loopback: stand-ins, sidecars and entries.
+//!
+//! For the quick start and the end-to-end tests only; no process of the product starts another.
+
+pub mod caller;
+pub mod deploy;
+pub mod layout;
+
+pub use caller::{Caller, Reply};
+pub use deploy::{Deployment, Error};
+pub use layout::{Layout, TargetKind};
--- a/crates/route/benches/route.rs
+++ b/crates/route/benches/route.rs
@@ -26,7 +26,7 @@
     for n in 0..size {
         let target = Target::new(
             format!("engine-{n}").parse()?,
-            service.clone(),
+            vec![service.clone()],
             zone.clone(),
         );
         let mut target = target.with_models(vec![model.clone()]);
--- a/crates/route/src/candidates.rs
+++ b/crates/route/src/candidates.rs
@@ -28,7 +28,7 @@
     key: u64,
     count: usize,
 ) -> Vec<usize> {
-    let serves = |target: &Target| !target.draining && target.service == *service;
+    let serves = |target: &Target| !target.draining && target.services.contains(service);
     let holds = |target: &Target| model.is_none_or(|model| target.has(model));
     let mut found = weigh(targets, key, |target| serves(target) && holds(target));
     if found.is_empty() {
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -10,8 +10,8 @@
 pub struct Target {
     /// The target.
     pub id: TargetId,
-    /// The service that it serves.
-    pub service: ServiceId,
+    /// The services that it takes part in.
+    pub services: Vec<ServiceId>,
     /// Its availability zone.
     pub zone: AvailabilityZone,
     /// The models and adapters that it has loaded.
@@ -28,10 +28,10 @@
 
 impl Target {
     /// Creates a target without load.
-    pub fn new(id: TargetId, service: ServiceId, zone: AvailabilityZone) -> Self {
+    pub fn new(id: TargetId, services: Vec<ServiceId>, zone: AvailabilityZone) -> Self {
         Self {
             id,
-            service,
+            services,
             zone,
             models: Vec::new(),
             load: Load::default(),
--- a/crates/route/tests/route/choose.rs
+++ b/crates/route/tests/route/choose.rs
@@ -23,7 +23,7 @@
         let target = |n: usize| {
             let target = Target::new(
                 format!("engine-{n}").parse()?,
-                service.clone(),
+                vec![service.clone()],
                 zone.clone(),
             );
             Ok(target.with_models(vec![model.clone()]))
@@ -79,7 +79,7 @@
 #[gtest]
 fn only_targets_with_the_model_unless_there_are_none() -> Result<()> {
     let mut scene = Scene::new(5)?;
-    scene.targets[1].service = "desk".parse()?;
+    scene.targets[1].services = vec!["desk".parse()?];
     for index in [0, 2, 3] {
         scene.targets[index].models.clear();
     }
--- /dev/null
+++ b/crates/sidecar/src/answer.rs
@@ -0,0 +1,87 @@
+//! The buffered answer of one run.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use cyc_proto::sidecar::Frame;
+use tokio::sync::watch;
+
+/// The frames of one answer. Readers may start at any frame and wait for more.
+#[derive(Debug)]
+pub struct Answer {
+    /// Invariant: nothing follows an end frame.
+    frames: Mutex<Vec<Frame>>,
+    length: watch::Sender<u64>,
+}
+
+impl Default for Answer {
+    fn default() -> Self {
+        Self {
+            frames: Mutex::default(),
+            length: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Answer {
+    fn frames(&self) -> MutexGuard<'_, Vec<Frame>> {
+        self.frames.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Appends a frame; one after the end is dropped.
+    pub fn push(&self, frame: Frame) {
+        let mut frames = self.frames();
+        if frames.last().is_some_and(Frame::is_end) {
+            return;
+        }
+        frames.push(frame);
+        self.length.send_replace(frames.len() as u64);
+    }
+
+    /// Returns true if the end frame is there.
+    pub fn is_complete(&self) -> bool {
+        self.frames().last().is_some_and(Frame::is_end)
+    }
+
+    /// Returns true unless the answer is complete and nothing is billed for it.
+    pub fn is_billed(&self) -> bool {
+        match self.frames().last() {
+            Some(Frame::End { receipt, .. } | Frame::Failed { receipt, .. }) => receipt.is_some(),
+            _ => true,
+        }
+    }
+
+    /// Returns the bytes of text held.
+    pub fn bytes(&self) -> usize {
+        let text = |frame: &Frame| match frame {
+            Frame::Data { text, .. } => text.len(),
+            _ => 0,
+        };
+        self.frames().iter().map(text).sum()
+    }
+
+    /// Returns all frames so far.
+    pub fn snapshot(&self) -> Vec<Frame> {
+        self.frames().clone()
+    }
+
+    /// Waits for frames from number `from` on and returns them; empty after the end.
+    pub async fn wait_from(&self, from: u64) -> Vec<Frame> {
+        let mut length = self.length.subscribe();
+        loop {
+            length.mark_unchanged();
+            {
+                let frames = self.frames();
+                let start = usize::try_from(from).unwrap_or(usize::MAX);
+                if let Some(rest) = frames.get(start..).filter(|rest| !rest.is_empty()) {
+                    return rest.to_vec();
+                }
+                if frames.last().is_some_and(Frame::is_end) {
+                    return Vec::new();
+                }
+            }
+            if length.changed().await.is_err() {
+                return Vec::new();
+            }
+        }
+    }
+}
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -142,9 +142,12 @@
 /// Finds a program of the workspace beside the folder of the running test.
 fn program_path(program: &str) -> io::Result<PathBuf> {
     let exe = std::env::current_exe()?;
-    let folder = exe.parent().and_then(|deps| deps.parent());
-    let folder = folder.ok_or(io::ErrorKind::NotFound)?;
-    Ok(folder.join(program))
+    // Test executables lie in a folder below that of the programs.
+    let folders = exe.ancestors().skip(1).take(2);
+    let mut paths = folders.map(|folder| folder.join(program));
+    Ok(paths
+        .find(|path| path.is_file())
+        .ok_or(io::ErrorKind::NotFound)?)
 }
 
 fn parse_address(line: &str) -> Option<SocketAddr> {
