--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -2,6 +2,8 @@
 
 #[path = "config/document.rs"]
 mod document;
+#[path = "config/examples.rs"]
+mod examples;
 #[path = "config/fake.rs"]
 mod fake;
 #[path = "config/sample.rs"]
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -300,3 +300,26 @@
     expect_that!(refused, gt(ROUNDS / 2));
     Ok(())
 }
+
+#[gtest]
+fn example_settings_are_valid() -> googletest::Result<()> {
+    let etc = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../etc");
+    for (name, weight) in [("dala", 75), ("hanbit", 25)] {
+        let dir = etc.join(name);
+        let entry = EntrySettings::load(&dir.join("entry.ini"));
+        expect_that!(
+            entry.map(|entry| entry.budget.weight),
+            ok(eq(&weight)),
+            "{name}"
+        );
+        for kind in [TargetKind::Engine, TargetKind::Service] {
+            let sidecar = SidecarSettings::load(&dir.join(format!("sidecar-{kind}.ini")));
+            expect_that!(
+                sidecar.map(|sidecar| sidecar.target.kind),
+                ok(eq(&kind)),
+                "{name}"
+            );
+        }
+    }
+    Ok(())
+}
