--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,69 @@
+//! What a command leaves behind.
+
+use std::process::ExitCode;
+
+/// The exit codes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// Done.
+    Ok,
+    /// Refused or conflict.
+    Refused,
+    /// Wrong usage or invalid input.
+    Usage,
+    /// The platform is unavailable.
+    Unavailable,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(match exit {
+            Exit::Ok => 0,
+            Exit::Refused => 1,
+            Exit::Usage => 2,
+            Exit::Unavailable => 3,
+        })
+    }
+}
+
+/// The texts and the exit code of a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Output {
+    /// The exit code.
+    pub exit: Exit,
+    /// Text for standard output.
+    pub out: String,
+    /// Text for standard error.
+    pub err: String,
+}
+
+impl Output {
+    /// Creates an output with text for standard output.
+    pub fn new(exit: Exit, out: impl Into<String>) -> Self {
+        Self {
+            exit,
+            out: out.into(),
+            err: String::new(),
+        }
+    }
+
+    /// Creates an output with text for standard error.
+    pub fn error(exit: Exit, err: impl Into<String>) -> Self {
+        Self {
+            exit,
+            out: String::new(),
+            err: err.into(),
+        }
+    }
+
+    /// Prints the texts and returns the exit code.
+    pub fn print(&self) -> ExitCode {
+        if !self.out.is_empty() {
+            println!("{}", self.out);
+        }
+        if !self.err.is_empty() {
+            eprintln!("{}", self.err);
+        }
+        self.exit.into()
+    }
+}
--- a/crates/config/examples/shared/mod.rs
+++ b/crates/config/examples/shared/mod.rs
@@ -71,7 +71,9 @@
             models: self.models.clone(),
             ..EngineState::default()
         };
-        Ok(target.with_engine(engine).with_checks_fencing(n.is_multiple_of(2)))
+        Ok(target
+            .with_engine(engine)
+            .with_checks_fencing(n.is_multiple_of(2)))
     }
 }
 
--- a/crates/member/src/backoff.rs
+++ b/crates/member/src/backoff.rs
@@ -13,7 +13,11 @@
 impl Backoff {
     /// Creates a backoff that starts at `first` and grows up to `limit`.
     pub fn new(first: Millis, limit: Millis) -> Self {
-        Self { first, limit, next: first }
+        Self {
+            first,
+            limit,
+            next: first,
+        }
     }
 
     /// Returns the next wait: between half and all of the current step, which then doubles.
--- a/crates/member/src/registry.rs
+++ b/crates/member/src/registry.rs
@@ -16,7 +16,17 @@
 
 /// The roles that register.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
 )]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
@@ -106,13 +116,20 @@
 }
 
 fn decode(object: &Object) -> Result<Member, Error> {
-    serde_json::from_slice(&object.body)
-        .map_err(|e| Error::Malformed { key: object.key.clone(), why: e.to_string() })
+    serde_json::from_slice(&object.body).map_err(|e| Error::Malformed {
+        key: object.key.clone(),
+        why: e.to_string(),
+    })
 }
 
 /// Reads the registration of `role` on `vm`, if there is one.
 pub async fn find(platform: &dyn Platform, role: Role, vm: &VmId) -> Result<Option<Member>, Error> {
-    platform.get(&key(role, vm)).await?.as_ref().map(decode).transpose()
+    platform
+        .get(&key(role, vm))
+        .await?
+        .as_ref()
+        .map(decode)
+        .transpose()
 }
 
 /// Reads all registrations of `role`.
@@ -164,8 +181,10 @@
         zone: entry.zone.clone(),
         target: entry.target.clone(),
     };
-    let body = serde_json::to_vec(&member)
-        .map_err(|e| Error::Malformed { key: key.clone(), why: e.to_string() })?;
+    let body = serde_json::to_vec(&member).map_err(|e| Error::Malformed {
+        key: key.clone(),
+        why: e.to_string(),
+    })?;
     match platform.put(&key, body.into(), expect).await {
         Ok(_) => Ok(Some(member.incarnation())),
         Err(PlatformError::Conflict) => Ok(None),
--- a/crates/proto/src/serve.rs
+++ b/crates/proto/src/serve.rs
@@ -45,7 +45,11 @@
         .set_tcp_no_delay(true)
         .build();
     let access = ServiceBuilder::new().layer(AccessLayer::new(key));
-    let server = Server::builder().set_config(cfg).set_http_middleware(access).build(addr).await?;
+    let server = Server::builder()
+        .set_config(cfg)
+        .set_http_middleware(access)
+        .build(addr)
+        .await?;
     let bound = server.local_addr()?;
     Ok((bound, server.start(methods)))
 }
@@ -59,7 +63,9 @@
 impl AccessLayer {
     /// Creates the layer for the shared key.
     pub fn new(key: &str) -> Self {
-        Self { bearer: format!("Bearer {key}").into() }
+        Self {
+            bearer: format!("Bearer {key}").into(),
+        }
     }
 }
 
@@ -67,7 +73,10 @@
     type Service = Access<S>;
 
     fn layer(&self, inner: S) -> Self::Service {
-        Access { inner, bearer: self.bearer.clone() }
+        Access {
+            inner,
+            bearer: self.bearer.clone(),
+        }
     }
 }
 
@@ -109,7 +118,10 @@
 
 impl<S> Access<S> {
     fn allows<B>(&self, req: &HttpRequest<B>) -> bool {
-        let given = req.headers().get("authorization").map(|value| value.as_bytes());
+        let given = req
+            .headers()
+            .get("authorization")
+            .map(|value| value.as_bytes());
         given.is_some_and(|given| same_bytes(given, self.bearer.as_bytes()))
     }
 }
