settings, config: one module for each daemon and for targets

Ruled out: nothing.

Change: settings splits into shared, entry and sidecar; config moves targets out of services. The names at the crates' roots are the same.

--- a/crates/config/src/builder.rs
+++ b/crates/config/src/builder.rs
@@ -19,7 +19,8 @@
     account::Account,
     document::Document,
     problem::Problem,
-    service::{Objective, Policy, Service, Target},
+    service::{Objective, Policy, Service},
+    target::Target,
 };
 
 /// Collects the pieces of a document.
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -16,7 +16,8 @@
     part,
     problem::Problem,
     route::{CHAT_METHOD, CHAT_PATH, Route},
-    service::{Objective, Service, ServiceKind, Services, Target},
+    service::{Objective, Service, ServiceKind, Services},
+    target::Target,
 };
 
 const METHODS: &[&str] = &["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod service;
 pub mod snapshot;
 pub mod store;
+pub mod target;
 
 pub use account::{Account, ApiKey, KeyDigest};
 pub use builder::Builder;
@@ -24,9 +25,7 @@
 pub use part::{Head, Part, PartRef};
 pub use problem::Problem;
 pub use route::{CHAT_METHOD, CHAT_PATH, Route, RoutePath};
-pub use service::{
-    EngineRole, EngineState, Objective, Policy, Retry, Service, ServiceKind, Services, Slots,
-    Target,
-};
+pub use service::{Objective, Policy, Retry, Service, ServiceKind, Services};
 pub use snapshot::{Accounts, KeyOwner, LoadError, ServicesSnapshot, Snapshot};
 pub use store::SubmitError;
+pub use target::{EngineRole, EngineState, Slots, Target};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,14 +4,15 @@
 //! It drives the reader and the reference for operators. All faults of a file are reported
 //! together, each with the file, the section, the key, the value and what is allowed.
 
+pub mod entry;
 pub mod error;
-pub mod model;
 mod read;
+pub mod shared;
+pub mod sidecar;
 pub mod table;
 
+pub use entry::{Budget, EntryLimits, EntrySettings, GrantPolicy, Ledger};
 pub use error::{Fault, SettingsError};
-pub use model::{
-    Access, Budget, EntryLimits, EntrySettings, GrantPolicy, Ledger, LogLevel, Peers,
-    PlatformAccess, Process, ProcessKey, SidecarLimits, SidecarSettings, Target, TargetKind,
-};
+pub use shared::{Access, LogLevel, Peers, PlatformAccess, Process, ProcessKey};
+pub use sidecar::{SidecarLimits, SidecarSettings, Target, TargetKind};
 pub use table::{Allowed, Daemon, Need, SETTINGS, Setting};
--- /dev/null
+++ b/crates/settings/src/shared.rs
@@ -0,0 +1,143 @@
+//! The settings that both daemons read.
+
+use std::{fmt, net::SocketAddr, str::FromStr};
+
+use cyc_types::{AvailabilityZone, Millis, VmId, size::ParseValueError};
+use smol_str::SmolStr;
+use strum::{Display, EnumString};
+
+use crate::{
+    error::SettingsError,
+    read::Values,
+    table::{Allowed, MIN_PROCESS_KEY_CHARS},
+};
+
+/// The least severe level that is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogLevel {
+    /// Everything.
+    Trace,
+    /// Steps inside a request.
+    Debug,
+    /// Changes of state.
+    Info,
+    /// Faults that the process handles.
+    Warn,
+    /// Faults that need an operator.
+    Error,
+    /// Nothing.
+    Off,
+}
+
+/// The key that all processes share.
+///
+/// Invariant: visible ASCII, at least [`MIN_PROCESS_KEY_CHARS`] of them. `Debug` hides it.
+#[derive(Clone, PartialEq, Eq)]
+pub struct ProcessKey(SmolStr);
+
+impl ProcessKey {
+    /// Returns the key as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for ProcessKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ProcessKey(..)")
+    }
+}
+
+impl FromStr for ProcessKey {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let allowed = Allowed::Secret {
+            min_chars: MIN_PROCESS_KEY_CHARS,
+        };
+        if allowed.accepts(text) {
+            Ok(Self(text.into()))
+        } else {
+            Err(ParseValueError {
+                wanted: "ProcessKey",
+                given: String::from("(hidden)"),
+            })
+        }
+    }
+}
+
+/// What both daemons read from `[process]`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Process {
+    /// `vm`: the VM that the process runs on. Required.
+    pub vm: VmId,
+    /// `zone`: the availability zone of the VM. Required.
+    pub zone: AvailabilityZone,
+    /// `log_level`: default `info`.
+    pub log_level: LogLevel,
+    /// `metrics_addr`: where statsd metrics go; none by default.
+    pub metrics_addr: Option<SocketAddr>,
+    /// `drain_limit_ms`: how long a graceful shutdown may wait; default 600 000.
+    pub drain_limit: Millis,
+}
+
+/// `[platform]`
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformAccess {
+    /// `addr`: the platform's HTTP address. Required.
+    pub addr: SocketAddr,
+    /// `timeout_ms`: timeout of one call; default 2 000.
+    pub timeout: Millis,
+}
+
+/// `[access]`
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Access {
+    /// `process_key`: the key that all processes share. Required.
+    pub process_key: ProcessKey,
+}
+
+/// `[peers]`
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peers {
+    /// `seeds`: RPC addresses of entries; empty by default.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Process {
+    pub(crate) fn from_values(values: &Values) -> Result<Self, Vec<SettingsError>> {
+        Ok(Self {
+            vm: values.get("process", "vm")?,
+            zone: values.get("process", "zone")?,
+            log_level: values.get("process", "log_level")?,
+            metrics_addr: values.optional("process", "metrics_addr")?,
+            drain_limit: values.get("process", "drain_limit_ms")?,
+        })
+    }
+}
+
+impl PlatformAccess {
+    pub(crate) fn from_values(values: &Values) -> Result<Self, Vec<SettingsError>> {
+        Ok(Self {
+            addr: values.get("platform", "addr")?,
+            timeout: values.get("platform", "timeout_ms")?,
+        })
+    }
+}
+
+impl Access {
+    pub(crate) fn from_values(values: &Values) -> Result<Self, Vec<SettingsError>> {
+        Ok(Self {
+            process_key: values.get("access", "process_key")?,
+        })
+    }
+}
+
+impl Peers {
+    pub(crate) fn from_values(values: &Values) -> Result<Self, Vec<SettingsError>> {
+        Ok(Self {
+            seeds: values.list("peers", "seeds")?,
+        })
+    }
+}
