Add merge, reclaim, the spend report and the seeded model of the budgets

Cause: requests can be billed twice and entries can be gone with tokens in their grants; finance and operations read the same report. Ruled out: a segment in the reclaimer's own name. A holder that thaws would bill the same receipts again; in the holder's name and next sequence the create-only write decides.

--- a/crates/budget/src/wallet.rs
+++ b/crates/budget/src/wallet.rs
@@ -357,6 +357,11 @@
         held.map_or(Tokens::ZERO, |held| std::mem::take(&mut held.free))
     }
 
+    /// Drops what is free of a borrowed grant whose holder was fenced; its tokens cannot be spent.
+    pub fn forget(&mut self, grant: &GrantId) {
+        self.start_repay(grant);
+    }
+
     /// Takes back what a borrower returns of this entry's grant, once for each repayment.
     pub fn repay(&mut self, borrower: (Incarnation, u64), grant: &GrantId, tokens: Tokens) {
         if self.fenced || grant.holder != self.me || !self.repaid.insert(borrower) {
--- a/crates/budget/tests/budget.rs
+++ b/crates/budget/tests/budget.rs
@@ -4,6 +4,8 @@
 mod fake;
 #[path = "budget/keeper.rs"]
 mod keeper;
+#[path = "budget/model.rs"]
+mod model;
 #[path = "budget/ops.rs"]
 mod ops;
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,8 +1,18 @@
 //! The ledger: segments of receipts, the merge of duplicates, reclaim of the grants of processes
 //! that are gone, and the spend report.
 
+pub mod evidence;
 pub mod flush;
+pub mod merge;
+pub mod month;
+pub mod read;
+pub mod reclaim;
+pub mod report;
 pub mod segment;
 
+pub use evidence::{Evidence, Reason, Unresolved};
 pub use flush::{Billed, Flusher, Ledger};
+pub use merge::{MergeRecord, merge};
+pub use reclaim::{Fences, Reclaimer, Sidecars};
+pub use report::{Report, report};
 pub use segment::{RefusalCount, Segment};
--- /dev/null
+++ b/crates/ledger/src/month.rs
@@ -0,0 +1,49 @@
+//! Calendar months of the reports, in UTC.
+
+use std::fmt;
+
+use cyc_types::Millis;
+use serde::{Serialize, Serializer};
+
+const MILLIS_PER_DAY: u64 = 86_400_000;
+
+/// A calendar month. Text form: `2026-12`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Month {
+    /// The year.
+    pub year: u64,
+    /// Invariant: 1 to 12.
+    pub month: u64,
+}
+
+impl Month {
+    /// Returns the month of a wall-clock time.
+    pub fn of(at: Millis) -> Self {
+        // Years are counted from March, so that the leap day is the last day of a year; the
+        // numbers are days in an era of 400 years, in four years and so on.
+        let days = at.get() / MILLIS_PER_DAY + 719_468;
+        let era = days / 146_097;
+        let day_of_era = days % 146_097;
+        let year_of_era =
+            (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+        let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+        let from_march = (5 * day_of_year + 2) / 153;
+        let month = (from_march + 2) % 12 + 1;
+        Self {
+            year: year_of_era + era * 400 + u64::from(month <= 2),
+            month,
+        }
+    }
+}
+
+impl fmt::Display for Month {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:04}-{:02}", self.year, self.month)
+    }
+}
+
+impl Serialize for Month {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(self)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/report.rs
@@ -0,0 +1,264 @@
+//! The spend report by client account and month, from platform objects alone.
+
+use std::{collections::BTreeMap, fmt};
+
+use cyc_budget::{Record, TopUp};
+use cyc_platform::{Platform, Result};
+use cyc_types::{BudgetId, ClientAccountId, ErrorKind, Incarnation, Tokens};
+use serde::Serialize;
+
+use crate::{
+    merge::{self, MergeRecord},
+    month::Month,
+    read,
+    reclaim::{self, Fences},
+    segment::Segment,
+};
+
+/// All that a report is made from.
+#[derive(Debug, Clone, Default)]
+pub struct Objects {
+    /// The budgets.
+    pub records: BTreeMap<BudgetId, Record>,
+    /// The segments.
+    pub segments: Vec<Segment>,
+    /// The merge records.
+    pub chain: Vec<MergeRecord>,
+    /// The fences.
+    pub fences: Fences,
+}
+
+/// The spend report.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// The accounts.
+    pub accounts: BTreeMap<ClientAccountId, Account>,
+}
+
+/// One client account.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Account {
+    /// The state of its budgets now.
+    pub balance: Balance,
+    /// By month.
+    pub months: BTreeMap<Month, Monthly>,
+}
+
+/// The state of the budgets of an account.
+/// Invariants: `paid = settled + open + free`, and `settled = billed - credited`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Balance {
+    /// The sum of the top-ups.
+    pub paid: Tokens,
+    /// The settled receipts of all months.
+    pub billed: Tokens,
+    /// Duplicates given back.
+    pub credited: Tokens,
+    /// What the budgets count as spent.
+    pub settled: Tokens,
+    /// What entries hold in grants.
+    pub open: Tokens,
+    /// The part of `open` whose holders are fenced and which is not reclaimed yet.
+    pub unresolved: Tokens,
+    /// What can be drawn.
+    pub free: Tokens,
+    /// Receipts in the ledger that are not settled yet; they are paid out of `open`.
+    pub pending: Tokens,
+}
+
+/// One month of an account.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Monthly {
+    /// The top-ups.
+    pub top_ups: Vec<TopUp>,
+    /// The tokens paid for.
+    pub paid: Tokens,
+    /// The tokens of settled receipts.
+    pub billed: Tokens,
+    /// The duplicates given back.
+    pub credited: Tokens,
+    /// The number of duplicates.
+    pub duplicates: u64,
+    /// Refused although money remained, by reason.
+    pub refused: BTreeMap<ErrorKind, Refused>,
+}
+
+/// Refused requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Refused {
+    /// The requests.
+    pub requests: u64,
+    /// The tokens of their worst case.
+    pub tokens: Tokens,
+}
+
+impl Balance {
+    /// Returns true if the sums add up exactly.
+    pub fn is_balanced(&self) -> bool {
+        let held = self
+            .settled
+            .checked_add(self.open)
+            .and_then(|sum| sum.checked_add(self.free));
+        held == Some(self.paid) && self.billed.checked_sub(self.credited) == Some(self.settled)
+    }
+}
+
+/// Reads all that a report is made from, again and again until the shards are the same before and
+/// after: then they settle exactly what the segments and merge records name.
+///
+/// # Errors
+/// If the platform does not answer or an object cannot be read.
+pub async fn collect(platform: &dyn Platform) -> Result<Objects> {
+    let mut records = read::records(platform).await?;
+    loop {
+        let segments = read::segments(platform, "").await?;
+        let chain = merge::chain(platform).await?;
+        let again = read::records(platform).await?;
+        if again == records {
+            let fences = read_fences(platform).await?;
+            return Ok(Objects {
+                records,
+                segments,
+                chain,
+                fences,
+            });
+        }
+        records = again;
+    }
+}
+
+async fn read_fences(platform: &dyn Platform) -> Result<Fences> {
+    match platform.get(&reclaim::fences_key()).await? {
+        Some(object) => serde_json::from_slice(&object.body).map_err(read::malformed),
+        None => Ok(Fences::default()),
+    }
+}
+
+/// Makes the report.
+pub fn report(objects: &Objects) -> Report {
+    let mut report = Report::default();
+    for record in objects.records.values() {
+        report.add_record(record, &objects.fences);
+    }
+    for segment in &objects.segments {
+        report.add_segment(segment, &objects.records);
+    }
+    for record in &objects.chain {
+        report.add_credits(record, &objects.records);
+    }
+    report
+}
+
+impl Report {
+    fn account(&mut self, id: &ClientAccountId) -> &mut Account {
+        self.accounts.entry(id.clone()).or_default()
+    }
+
+    fn add_record(&mut self, record: &Record, fences: &Fences) {
+        let account = self.account(&record.account);
+        let balance = &mut account.balance;
+        balance.paid += record.paid;
+        balance.settled += record.settled;
+        balance.open += record.granted();
+        balance.free += record.free();
+        let fenced = record.grants.iter().filter(|(h, _)| is_fenced(fences, h));
+        balance.unresolved += fenced.map(|(_, grant)| grant.amount).sum();
+        for top_up in &record.top_ups {
+            let month = account.months.entry(Month::of(top_up.at)).or_default();
+            month.paid += top_up.tokens;
+            month.top_ups.push(top_up.clone());
+        }
+    }
+
+    fn add_segment(&mut self, segment: &Segment, records: &BTreeMap<BudgetId, Record>) {
+        for receipt in &segment.receipts {
+            let Some(record) = records.get(&receipt.grant.budget) else {
+                continue;
+            };
+            let account = self.account(&record.account);
+            if read::is_settled(records, segment, &receipt.grant) {
+                let month = account.months.entry(Month::of(receipt.at)).or_default();
+                month.billed += receipt.tokens;
+                account.balance.billed += receipt.tokens;
+            } else {
+                account.balance.pending += receipt.tokens;
+            }
+        }
+        let refused = segment.refusals.iter().filter(|count| count.money_remained);
+        for count in refused {
+            let Some(record) = records.get(&count.budget) else {
+                continue;
+            };
+            let account = self.account(&record.account);
+            let month = account.months.entry(Month::of(segment.at)).or_default();
+            let refused = month.refused.entry(count.kind).or_default();
+            refused.requests += count.requests;
+            refused.tokens += count.tokens;
+        }
+    }
+
+    fn add_credits(&mut self, merge: &MergeRecord, records: &BTreeMap<BudgetId, Record>) {
+        for duplicate in &merge.duplicates {
+            let record = records.get(&duplicate.budget);
+            let Some(record) = record.filter(|record| record.last_merge >= merge.sequence) else {
+                continue;
+            };
+            let account = self.account(&record.account);
+            account.balance.credited += duplicate.tokens;
+            let month = account.months.entry(Month::of(duplicate.at)).or_default();
+            month.credited += duplicate.tokens;
+            month.duplicates += 1;
+        }
+    }
+}
+
+fn is_fenced(fences: &Fences, holder: &Incarnation) -> bool {
+    let lowest = fences.lowest.get(&holder.vm);
+    lowest.is_some_and(|lowest| holder.number < *lowest)
+}
+
+/// The report as a table.
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (id, account) in &self.accounts {
+            let balance = &account.balance;
+            writeln!(f, "account {id}")?;
+            writeln!(f, "  paid        {:>16}", balance.paid)?;
+            writeln!(f, "  billed      {:>16}", balance.billed)?;
+            writeln!(f, "  credited    {:>16}", balance.credited)?;
+            writeln!(f, "  settled     {:>16}", balance.settled)?;
+            writeln!(f, "  open        {:>16}", balance.open)?;
+            writeln!(f, "  unresolved  {:>16}", balance.unresolved)?;
+            writeln!(f, "  free        {:>16}", balance.free)?;
+            writeln!(f, "  pending     {:>16}", balance.pending)?;
+            for (month, monthly) in &account.months {
+                write_month(f, *month, monthly)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn write_month(f: &mut fmt::Formatter<'_>, month: Month, monthly: &Monthly) -> fmt::Result {
+    writeln!(f, "  month {month}")?;
+    writeln!(f, "    paid      {:>16}", monthly.paid)?;
+    for top_up in &monthly.top_ups {
+        writeln!(f, "      top-up  {:>16}  {}", top_up.tokens, top_up.id)?;
+    }
+    writeln!(f, "    billed    {:>16}", monthly.billed)?;
+    let duplicates = monthly.duplicates;
+    writeln!(
+        f,
+        "    credited  {:>16}  {duplicates} duplicates",
+        monthly.credited
+    )?;
+    for (kind, refused) in &monthly.refused {
+        let requests = refused.requests;
+        writeln!(
+            f,
+            "    refused   {:>16}  {requests} requests: {kind}",
+            refused.tokens
+        )?;
+    }
+    Ok(())
+}
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -4,12 +4,19 @@
 mod fake;
 #[path = "ledger/flush.rs"]
 mod flush;
+#[path = "ledger/gate.rs"]
+mod gate;
+#[path = "ledger/merge.rs"]
+mod merge;
+#[path = "ledger/reclaim.rs"]
+mod reclaim;
 
 use std::sync::Arc;
 
 use cyc_budget::{
     Keeper, Payment, Purse, Record, Shard, keeper, shard::shard_key, shard_of, top_up,
 };
+use cyc_platform::Platform;
 use cyc_proto::{GrantId, Receipt};
 use cyc_types::{BudgetId, Clock, Incarnation, Millis, RequestId, Tokens};
 use fake::Fake;
@@ -70,12 +77,12 @@
     clock
 }
 
-fn purse(fake: &Arc<Fake>, number: u64, clock: &Clock) -> Purse {
+fn purse(platform: Arc<dyn Platform>, number: u64, clock: &Clock) -> Purse {
     let options = keeper::Options {
         shards: SHARDS,
         ..keeper::Options::default()
     };
-    let (purse, keeper) = Keeper::new(fake.clone(), entry(number), clock.clone(), options);
+    let (purse, keeper) = Keeper::new(platform, entry(number), clock.clone(), options);
     tokio::spawn(keeper.run());
     purse
 }
--- a/crates/ledger/tests/ledger/flush.rs
+++ b/crates/ledger/tests/ledger/flush.rs
@@ -16,7 +16,7 @@
 async fn start(fake: &Arc<Fake>, max_unflushed: usize) -> Result<(Purse, Ledger, Released)> {
     pay(fake, "first", 1_000).await;
     let clock = runtime_clock();
-    let purse = purse(fake, 1, &clock);
+    let purse = purse(fake.clone(), 1, &clock);
     let options = flush::Options {
         max_unflushed,
         ..flush::Options::default()
--- /dev/null
+++ b/crates/ledger/tests/ledger/merge.rs
@@ -0,0 +1,202 @@
+//! Duplicates are credited once, and the report adds up.
+
+use cyc_budget::{Op, Purse};
+use cyc_ledger::{
+    Segment, merge,
+    merge::next_record,
+    month::Month,
+    read,
+    report::{self, report},
+};
+use cyc_platform::{Expect, Platform as _};
+use cyc_types::ErrorKind;
+use googletest::prelude::*;
+
+use super::{fake::Fault, *};
+
+const WINDOW: Millis = Millis::new(600_000);
+
+/// Writes a segment and settles it, if `settled`.
+async fn put(fake: &Fake, purse: &Purse, segment: &Segment, settled: bool) -> Result<()> {
+    fake.put(&segment.key(), segment.encode()?, Expect::Absent)
+        .await?;
+    if settled {
+        let sums = segment.sums().into_iter().collect();
+        let result = purse
+            .settle_segment(&segment.writer, segment.sequence, sums)
+            .await;
+        expect_that!(result, ok(anything()));
+    }
+    Ok(())
+}
+
+fn segment(writer: u64, sequence: u64, receipts: Vec<Receipt>) -> Segment {
+    let mut segment = Segment::new(entry(writer), sequence, Millis::new(sequence));
+    segment.receipts = receipts;
+    segment
+}
+
+/// 1000 tokens paid and 500 drawn by entry 1; request 1 is billed by entries 1, 2 and 3, of which
+/// the last is not settled yet.
+async fn billed_twice(fake: &Arc<Fake>) -> Result<Purse> {
+    pay(fake, "first", 1_000).await;
+    let purse = purse(fake.clone(), 1, &runtime_clock());
+    let draw = Op::Draw {
+        grant: grant(1),
+        number: 1,
+        want: Tokens::new(500),
+    };
+    purse.apply(draw).await.or_fail()?;
+    let mine = segment(1, 1, vec![receipt(1, 1, 1, 30), receipt(2, 1, 1, 7)]);
+    put(fake, &purse, &mine, true).await?;
+    put(
+        fake,
+        &purse,
+        &segment(2, 2, vec![receipt(1, 2, 1, 25)]),
+        true,
+    )
+    .await?;
+    put(
+        fake,
+        &purse,
+        &segment(3, 3, vec![receipt(1, 3, 1, 20)]),
+        false,
+    )
+    .await?;
+    Ok(purse)
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn duplicates_are_credited_once_whatever_happens_to_the_writes() -> Result<()> {
+    use Fault::{AnswerLost, Delayed, Lost, None};
+    for script in [
+        &[None][..],
+        &[AnswerLost],
+        &[Lost, AnswerLost],
+        &[Delayed],
+        &[None, Delayed],
+    ] {
+        let fake = Arc::new(Fake::default());
+        let purse = billed_twice(&fake).await?;
+        fake.script(script);
+        // The merges fail as the script says; the last ones go on.
+        for _ in 0..3 {
+            merge(&*fake, &purse, WINDOW).await.ok();
+        }
+        fake.deliver();
+        merge(&*fake, &purse, WINDOW).await?;
+        expect_that!(record(&fake).settled, eq(Tokens::new(37)), "{script:?}");
+
+        // The third duplicate is credited after it was settled, not before.
+        let sums = vec![(grant(1), Tokens::new(20))];
+        let late = purse.settle_segment(&entry(3), 3, sums).await;
+        expect_that!(late, ok(anything()));
+        expect_that!(record(&fake).settled, eq(Tokens::new(57)));
+        merge(&*fake, &purse, WINDOW).await?;
+        expect_that!(record(&fake).settled, eq(Tokens::new(37)), "{script:?}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn of_two_mergers_one_wins() -> Result<()> {
+    let fake = Arc::new(Fake::default());
+    let first = billed_twice(&fake).await?;
+    let second = purse(fake.clone(), 9, &runtime_clock());
+    let results = tokio::join!(
+        merge(&*fake, &first, WINDOW),
+        merge(&*fake, &second, WINDOW)
+    );
+    let failed = [&results.0, &results.1].map(|result| result.is_err());
+    expect_that!(failed.iter().filter(|failed| **failed).count(), eq(1));
+    merge(&*fake, &second, WINDOW).await?;
+    expect_that!(record(&fake).settled, eq(Tokens::new(37)));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_request_id_after_the_window_is_a_new_request() -> Result<()> {
+    let fake = Arc::new(Fake::default());
+    let _purse = billed_twice(&fake).await?;
+    let mut segments = read::segments(&*fake, "").await?;
+    let records = read::records(&*fake).await?;
+    segments[1].receipts[0].at = WINDOW;
+    let near = next_record(&[], &segments, &records, WINDOW).or_fail()?;
+    expect_that!(near.duplicates, len(eq(1)));
+    segments[1].receipts[0].at = WINDOW + Millis::new(1);
+    let far = next_record(&[], &segments, &records, WINDOW).or_fail()?;
+    expect_that!(far.duplicates, is_empty());
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_report_adds_up() -> Result<()> {
+    let fake = Arc::new(Fake::default());
+    let purse = billed_twice(&fake).await?;
+    let mut refusals = segment(1, 2, Vec::new());
+    for (money_remained, requests) in [(true, 3), (false, 4)] {
+        refusals.refusals.push(cyc_ledger::RefusalCount {
+            budget: budget(),
+            kind: ErrorKind::BudgetUnreachable,
+            money_remained,
+            requests,
+            tokens: Tokens::new(requests * 10),
+        });
+    }
+    put(&fake, &purse, &refusals, false).await?;
+    merge(&*fake, &purse, WINDOW).await?;
+    let fence = Incarnation::new(entry(1).vm, 2);
+    cyc_ledger::reclaim::raise_fence(&*fake, &fence).await?;
+    let report = report(&report::collect(&*fake).await?);
+    let account = &report.accounts[&"dala".parse()?];
+    let balance = &account.balance;
+    expect_that!(balance.is_balanced(), eq(true), "{report}");
+    let sums = [
+        balance.paid,
+        balance.billed,
+        balance.credited,
+        balance.settled,
+    ];
+    expect_that!(sums.map(Tokens::get), eq([1_000, 62, 25, 37]));
+    let sums = [
+        balance.open,
+        balance.unresolved,
+        balance.free,
+        balance.pending,
+    ];
+    expect_that!(sums.map(Tokens::get), eq([438, 438, 525, 20]));
+    let month = &account.months[&Month::of(Millis::ZERO)];
+    let refused = &month.refused[&ErrorKind::BudgetUnreachable];
+    expect_that!((refused.requests, refused.tokens.get()), eq((3, 30)));
+    expect_that!(
+        (month.paid.get(), month.billed.get(), month.duplicates),
+        eq((1_000, 62, 1))
+    );
+    expect_that!(
+        serde_json::to_string(&report)?,
+        contains_substring("\"1970-01\"")
+    );
+    expect_that!(report.to_string(), contains_substring("budget_unreachable"));
+    Ok(())
+}
+
+#[gtest]
+fn months_follow_the_calendar() -> Result<()> {
+    let cases = [
+        (0, "1970-01"),
+        (951_782_399_999, "2000-02"),
+        (951_868_800_000, "2000-03"),
+        (1_709_164_800_000, "2024-02"),
+        (1_709_251_200_000, "2024-03"),
+        (1_798_761_599_999, "2026-12"),
+        (1_798_761_600_000, "2027-01"),
+    ];
+    for (at, month) in cases {
+        expect_that!(Month::of(Millis::new(at)).to_string(), eq(month), "{at}");
+    }
+    Ok(())
+}
