Wait before a VM that the list leaves out counts as gone

Cause: the VM list lags; an entry on a VM that has just started would have been fenced in each round until the list named it. Ruled out: a fence at the first look. The wait takes no money from anyone; it only delays a fence. Change: the reclaimer notes since when the list leaves a VM out. The report is tested between a merge record and its credit.

--- a/crates/ledger/src/reclaim.rs
+++ b/crates/ledger/src/reclaim.rs
@@ -13,7 +13,7 @@
 use cyc_budget::{Applied, Op, OpError, Purse};
 use cyc_platform::{Body, Error, Expect, Kind, ObjectKey, Platform, Result};
 use cyc_proto::{GrantId, LinkError, sidecar::FenceReply};
-use cyc_types::{Clock, Incarnation, RequestId, TargetId, Tokens, VmId};
+use cyc_types::{Clock, Incarnation, Millis, RequestId, TargetId, Tokens, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -30,6 +30,10 @@
     async fn fence(&self, lowest: &Incarnation) -> Vec<(TargetId, Result<FenceReply, LinkError>)>;
 }
 
+/// A VM counts as gone when the VM list has not named it for this long, because the list lags and
+/// a VM that has just started is not in it yet.
+const ABSENCE: Millis = Millis::new(30_000);
+
 /// The fences: by VM, the lowest incarnation that may still spend. A number only grows.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fences {
@@ -68,6 +72,8 @@
     clock: Clock,
     /// Fences below which nothing is left to do.
     finished: BTreeSet<Incarnation>,
+    /// Since when the VM list does not name a VM, by the clock of this process.
+    absent: BTreeMap<VmId, Millis>,
 }
 
 impl Reclaimer {
@@ -84,6 +90,7 @@
             sidecars,
             clock,
             finished: BTreeSet::new(),
+            absent: BTreeMap::new(),
         }
     }
 
@@ -114,19 +121,22 @@
     }
 
     /// Returns for each VM the lowest incarnation that is not gone, where some are.
-    async fn gone(&self) -> Result<Vec<Incarnation>> {
+    async fn gone(&mut self) -> Result<Vec<Incarnation>> {
         let vms = self.platform.vms().await?;
         let listed: BTreeSet<&VmId> = vms.iter().map(|vm| &vm.id).collect();
+        self.absent.retain(|vm, _| !listed.contains(vm));
         let mut lowest: BTreeMap<VmId, u64> = BTreeMap::new();
         for object in self.platform.list(Kind::Member, "entry.").await? {
             let member: Member = serde_json::from_slice(&object.body).map_err(malformed)?;
-            let is_gone = !listed.contains(&member.vm);
+            let is_gone = !listed.contains(&member.vm) && self.is_absent(&member.vm);
             lowest.insert(member.vm, member.number + u64::from(is_gone));
         }
         for record in read::records(&*self.platform).await?.values() {
             for holder in record.grants.keys().filter(|h| !listed.contains(&h.vm)) {
-                let number = lowest.entry(holder.vm.clone()).or_default();
-                *number = (holder.number + 1).max(*number);
+                if self.is_absent(&holder.vm) {
+                    let number = lowest.entry(holder.vm.clone()).or_default();
+                    *number = (holder.number + 1).max(*number);
+                }
             }
         }
         let fences = lowest.into_iter().filter(|(_, number)| *number > 1);
@@ -135,6 +145,13 @@
             .collect())
     }
 
+    /// Notes that the VM list does not name a VM; true if it has not for [`ABSENCE`].
+    fn is_absent(&mut self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        let since = *self.absent.entry(vm.clone()).or_insert(now);
+        now.saturating_sub(since) >= ABSENCE
+    }
+
     async fn ask(&self, lowest: &Incarnation) -> Evidence {
         let mut evidence = Evidence::default();
         for (target, reply) in self.sidecars.fence(lowest).await {
--- a/crates/ledger/tests/ledger/merge.rs
+++ b/crates/ledger/tests/ledger/merge.rs
@@ -148,6 +148,15 @@
         });
     }
     put(&fake, &purse, &refusals, false).await?;
+    // A merger died between its record and the credit: nothing is credited yet.
+    let objects = report::collect(&*fake).await?;
+    let pending = next_record(&[], &objects.segments, &objects.records, WINDOW).or_fail()?;
+    let body = serde_json::to_vec(&pending)?.into();
+    fake.put(&merge::key(1), body, Expect::Absent).await?;
+    let early = report(&report::collect(&*fake).await?);
+    let balance = &early.accounts[&"dala".parse()?].balance;
+    expect_that!(balance.is_balanced(), eq(true), "{early}");
+    expect_that!(balance.credited, eq(Tokens::ZERO));
     merge(&*fake, &purse, WINDOW).await?;
     let fence = Incarnation::new(entry(1).vm, 2);
     cyc_ledger::reclaim::raise_fence(&*fake, &fence).await?;
--- a/crates/ledger/tests/ledger/reclaim.rs
+++ b/crates/ledger/tests/ledger/reclaim.rs
@@ -234,6 +234,33 @@
     world.verify_bills(&[1, 2, 3], 42, "slower").await
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_vm_is_gone_when_the_list_has_left_it_out_for_long() -> Result<()> {
+    let clock = Clock::new_manual(Millis::ZERO);
+    let world = World::new(&runtime_clock()).await?;
+    let member = ObjectKey::new(Kind::Member, "entry.entry-a");
+    let version = world.fake.get(&member).await?.or_fail()?.version;
+    world.fake.delete(&member, version).await?;
+    let purse = purse(world.fake.clone(), 8, &clock);
+    let mut reclaimer = Reclaimer::new(
+        world.fake.clone(),
+        purse,
+        world.sidecars.clone(),
+        clock.clone(),
+    );
+    let listed = world.fake.vms().await?;
+    // Absent, back again, absent, and absent for long.
+    let cases = [(vec![], 0), (listed, 0), (vec![], 0), (vec![], 1)];
+    for (vms, reclaimed) in cases {
+        world.fake.set_vms(vms);
+        let outcome = reclaimer.round().await?;
+        expect_that!(outcome.reclaimed.len(), eq(reclaimed));
+        clock.advance(Millis::MINUTE);
+    }
+    world.verify("gone").await
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_grant_stays_held_while_the_evidence_is_incomplete() -> Result<()> {
