Split the wallet and the controller into smaller modules

Ruled out: nothing. Change: modules close, loan, rate and top_up; one clock for tests. No change of behaviour.

--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -6,10 +6,9 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use cyc_platform::{Error, Expect, Platform};
-use cyc_types::{BudgetId, ClientAccountId, Clock, Incarnation, Millis, Tokens};
+use cyc_types::{BudgetId, Clock, Incarnation, Millis, Tokens};
 use futures::future::join_all;
 use rand::RngExt as _;
-use smol_str::SmolStr;
 use tokio::{
     sync::{mpsc, oneshot},
     time::Instant,
@@ -17,6 +16,7 @@
 
 use crate::{
     batch::{self, Outcome, Pending},
+    close::CloseReport,
     op::{Applied, Op, OpError},
     policy,
     purse::{Purse, Shared},
@@ -24,9 +24,6 @@
     wallet::HolderOp,
 };
 
-/// How often a top-up is tried before the operator is told to repeat it.
-const TOP_UP_ATTEMPTS: u32 = 5;
-
 /// The settings of the controller.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -68,13 +65,6 @@
     pub(crate) read: u64,
 }
 
-/// What could not be returned when the controller ended.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CloseReport {
-    /// By budget: the tokens still in the wallet or on the way, and why.
-    pub kept: Vec<(BudgetId, Tokens, SmolStr)>,
-}
-
 pub(crate) type Reply = oneshot::Sender<Result<Applied, OpError>>;
 
 /// An order to the controller.
@@ -99,7 +89,7 @@
 /// The controller. One task of a process runs it.
 pub struct Keeper {
     platform: Arc<dyn Platform>,
-    shared: Arc<Shared>,
+    pub(crate) shared: Arc<Shared>,
     rx: mpsc::UnboundedReceiver<Command>,
     options: Options,
     queues: BTreeMap<u32, Queue>,
@@ -159,7 +149,7 @@
         }
     }
 
-    fn receive_waiting(&mut self) {
+    pub(crate) fn receive_waiting(&mut self) {
         while let Ok(command) = self.rx.try_recv() {
             self.push(command);
         }
@@ -179,21 +169,25 @@
         self.enqueue(pending);
     }
 
-    fn enqueue(&mut self, pending: Pending) {
+    pub(crate) fn enqueue(&mut self, pending: Pending) {
         let shard = shard_of(pending.budget(), self.options.shards);
         let queue = self.queues.entry(shard).or_default();
         queue.pending.push(pending);
     }
 
-    fn next_retry(&self) -> Option<Instant> {
+    pub(crate) fn next_retry(&self) -> Option<Instant> {
         self.queues
             .values()
             .filter_map(|queue| queue.retry_at)
             .min()
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.queues.is_empty()
+    }
+
     /// Tries all shards whose queue is not waiting for a retry.
-    async fn attempt_due(&mut self) {
+    pub(crate) async fn attempt_due(&mut self) {
         let now = Instant::now();
         let (platform, shared) = (&self.platform, &self.shared);
         let due = self
@@ -240,75 +234,6 @@
     }
 }
 
-/// Shutdown.
-impl Keeper {
-    async fn close(&mut self, wait: Millis) -> CloseReport {
-        let deadline = Instant::now() + wait.duration();
-        self.drive(deadline).await;
-        let returns: Vec<HolderOp> = self.shared.update(|state| {
-            let wallet = &mut state.wallet;
-            let all = wallet.budgets().into_iter();
-            all.filter_map(|budget| {
-                let free = wallet.own_free(&budget);
-                wallet.start_return(&budget, free)
-            })
-            .collect()
-        });
-        for op in returns {
-            self.enqueue(Pending::Return(op));
-        }
-        self.drive(deadline).await;
-        let mut report = CloseReport::default();
-        let mut replies = Vec::new();
-        for grant in self.own_grants() {
-            let (tx, rx) = oneshot::channel();
-            self.enqueue(Pending::Apply(
-                Op::Close {
-                    grant: grant.clone(),
-                },
-                Some(tx),
-            ));
-            replies.push((grant.budget, rx));
-        }
-        self.drive(deadline).await;
-        for (budget, mut rx) in replies {
-            let here = self.shared.lock().wallet.holding(&budget);
-            let held = here.free + here.reserved + here.returning;
-            match rx.try_recv() {
-                Ok(Ok(_) | Err(OpError::NoGrant(_) | OpError::NoBudget(_))) => {}
-                Ok(Err(error)) => report.kept.push((budget, held, error.to_string().into())),
-                Err(_) => report.kept.push((budget, held, "no answer in time".into())),
-            }
-        }
-        report
-    }
-
-    fn own_grants(&self) -> Vec<cyc_proto::GrantId> {
-        let state = self.shared.lock();
-        let grant = |budget| cyc_proto::GrantId {
-            budget,
-            holder: state.wallet.holder().clone(),
-        };
-        state.wallet.budgets().into_iter().map(grant).collect()
-    }
-
-    async fn drive(&mut self, deadline: Instant) {
-        while !self.queues.is_empty() && Instant::now() < deadline {
-            self.receive_waiting();
-            let retry = self.next_retry();
-            let attempt = async {
-                if retry.is_some() {
-                    sleep_until(retry).await;
-                }
-                self.attempt_due().await;
-            };
-            if tokio::time::timeout_at(deadline, attempt).await.is_err() {
-                return;
-            }
-        }
-    }
-}
-
 fn finish(shared: &Shared, queue: &mut Queue, outcome: Outcome) {
     queue.failures = 0;
     queue.retry_at = None;
@@ -349,75 +274,13 @@
     queue.retry_at = Some(Instant::now() + Duration::from_millis(wait));
 }
 
-async fn sleep_until(at: Option<Instant>) {
+pub(crate) async fn sleep_until(at: Option<Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
         None => std::future::pending().await,
     }
 }
 
-/// Why a top-up was not confirmed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum TopUpError {
-    /// The shard refused it; it has had no effect.
-    Refused(OpError),
-    /// It may or may not have taken effect. It is safe to repeat it with the same id.
-    Unconfirmed(Error),
-}
-
-impl std::fmt::Display for TopUpError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Refused(error) => write!(f, "the top-up was refused: {error}"),
-            Self::Unconfirmed(error) => {
-                write!(
-                    f,
-                    "repeat the top-up with the same id, it is unconfirmed: {error}"
-                )
-            }
-        }
-    }
-}
-
-impl std::error::Error for TopUpError {}
-
-/// A payment to be counted.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Payment {
-    /// The budget.
-    pub budget: BudgetId,
-    /// The client account that pays.
-    pub account: ClientAccountId,
-    /// The operator's id of the payment.
-    pub id: SmolStr,
-    /// The tokens paid for.
-    pub tokens: Tokens,
-    /// Wall-clock time, for reports only.
-    pub at: Millis,
-}
-
-/// Counts a payment for the operators' command; creates the budget if it is absent.
-///
-/// # Errors
-/// See [`TopUpError`].
-pub async fn top_up(
-    platform: &dyn Platform,
-    shards: u32,
-    payment: Payment,
-) -> Result<Applied, TopUpError> {
-    let op = Op::TopUp {
-        budget: payment.budget,
-        account: payment.account,
-        id: payment.id,
-        tokens: payment.tokens,
-        at: payment.at,
-    };
-    batch::apply_now(platform, shards, &op, TOP_UP_ATTEMPTS)
-        .await
-        .map_err(TopUpError::Unconfirmed)?
-        .map_err(TopUpError::Refused)
-}
-
 /// Returns the condition for writing over an object as it was read.
 pub(crate) fn expect_of(object: Option<&cyc_platform::Object>) -> Expect {
     object.map_or(Expect::Absent, |object| Expect::Version(object.version))
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -4,16 +4,22 @@
 //! Invariant of every budget, after every operation: `settled + sum(grant.amount) <= paid`.
 
 mod batch;
+pub mod close;
 pub mod keeper;
+mod loan;
 pub mod op;
 pub mod policy;
 pub mod purse;
+mod rate;
 pub mod shard;
+pub mod top_up;
 pub mod wallet;
 
-pub use keeper::{CloseReport, Keeper, Known, Payment, TopUpError, top_up};
+pub use close::CloseReport;
+pub use keeper::{Keeper, Known};
 pub use op::{Applied, Op, OpError, apply};
 pub use policy::Policy;
 pub use purse::Purse;
 pub use shard::{Grant, Record, SHARDS, Shard, TopUp, shard_of};
+pub use top_up::{Payment, TopUpError, top_up};
 pub use wallet::{Reservation, Reserve, Wallet};
--- a/crates/budget/src/purse.rs
+++ b/crates/budget/src/purse.rs
@@ -10,7 +10,8 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
-    keeper::{CloseReport, Command, Known},
+    close::CloseReport,
+    keeper::{Command, Known},
     op::{Applied, Op, OpError},
     policy,
     wallet::{HolderOp, Reservation, Reserve, Wallet},
--- a/crates/budget/src/wallet.rs
+++ b/crates/budget/src/wallet.rs
@@ -8,8 +8,7 @@
 use cyc_proto::GrantId;
 use cyc_types::{BudgetId, Incarnation, Millis, PerSecond, Tokens};
 
-/// The time constant of the estimate of the rate of use.
-const RATE_WINDOW: Millis = Millis::new(5_000);
+use crate::rate::Rate;
 
 /// Tokens taken out of one grant for the worst case of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,16 +36,16 @@
 
 /// Tokens of one grant.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-struct Held {
-    free: Tokens,
+pub(crate) struct Held {
+    pub(crate) free: Tokens,
     reserved: Tokens,
 }
 
 /// The tokens of one budget.
 #[derive(Debug, Clone, Default)]
-struct Account {
+pub(crate) struct Account {
     /// By holder: this entry's own grant and those that it borrowed from.
-    held: BTreeMap<Incarnation, Held>,
+    pub(crate) held: BTreeMap<Incarnation, Held>,
     /// Number of the last draw or return of this holder. It only grows.
     holder_op: u64,
     /// Invariant: at most one draw or return of a holder is under way.
@@ -58,35 +57,11 @@
     /// When the last draw ended that moved nothing.
     last_empty: Option<Millis>,
     /// What this entry has lent and not got back.
-    lent: Tokens,
+    pub(crate) lent: Tokens,
     rate: Rate,
     last_short: Option<Millis>,
 }
 
-/// An exponentially weighted rate of use.
-#[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    per_second: f64,
-    since: Option<Millis>,
-}
-
-impl Rate {
-    fn record(&mut self, tokens: Tokens, now: Millis) {
-        self.per_second = self.at(now).get() + tokens.get() as f64 / window_seconds();
-        self.since = Some(now);
-    }
-
-    fn at(&self, now: Millis) -> PerSecond {
-        let age = self.since.map_or(0, |at| now.saturating_sub(at).get());
-        let decay = (-(age as f64) / RATE_WINDOW.get() as f64).exp();
-        PerSecond::new(self.per_second * decay)
-    }
-}
-
-fn window_seconds() -> f64 {
-    RATE_WINDOW.get() as f64 / Millis::SECOND.get() as f64
-}
-
 /// What this entry holds of one budget.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Holding {
@@ -116,15 +91,15 @@
 /// The tokens that one entry incarnation holds.
 #[derive(Debug)]
 pub struct Wallet {
-    me: Incarnation,
-    budgets: BTreeMap<BudgetId, Account>,
+    pub(crate) me: Incarnation,
+    pub(crate) budgets: BTreeMap<BudgetId, Account>,
     /// Loans given, by borrower and loan number, so that a repeated call returns the same loan.
-    loans: BTreeMap<(Incarnation, u64), (GrantId, Tokens)>,
+    pub(crate) loans: BTreeMap<(Incarnation, u64), (GrantId, Tokens)>,
     /// Loans taken whose answer was counted.
-    borrowed: BTreeSet<u64>,
+    pub(crate) borrowed: BTreeSet<u64>,
     /// Repayments taken, by borrower and repayment number.
-    repaid: BTreeSet<(Incarnation, u64)>,
-    fenced: bool,
+    pub(crate) repaid: BTreeSet<(Incarnation, u64)>,
+    pub(crate) fenced: bool,
 }
 
 impl Wallet {
@@ -157,7 +132,7 @@
         self.loans.clear();
     }
 
-    fn own_grant(&self, budget: &BudgetId) -> GrantId {
+    pub(crate) fn own_grant(&self, budget: &BudgetId) -> GrantId {
         GrantId {
             budget: budget.clone(),
             holder: self.me.clone(),
@@ -307,93 +282,6 @@
     }
 }
 
-/// Loans.
-impl Wallet {
-    /// Debits a loan for a peer: `want` or what is free, nothing if that is less than `least`.
-    /// A repeated call returns the same loan.
-    pub fn lend(
-        &mut self,
-        borrower: (Incarnation, u64),
-        budget: &BudgetId,
-        want: Tokens,
-        least: Tokens,
-    ) -> Option<(GrantId, Tokens)> {
-        if let Some(loan) = self.loans.get(&borrower) {
-            return Some(loan.clone());
-        }
-        if self.fenced {
-            return None;
-        }
-        let grant = self.own_grant(budget);
-        let account = self.budgets.get_mut(budget)?;
-        let held = account.held.get_mut(&self.me)?;
-        let lent = want.min(held.free);
-        if lent < least || lent.is_zero() {
-            return None;
-        }
-        held.free = held.free.saturating_sub(lent);
-        account.lent += lent;
-        self.loans.insert(borrower, (grant.clone(), lent));
-        Some((grant, lent))
-    }
-
-    /// Counts the answer of a loan taken, once for each loan number.
-    pub fn borrow(&mut self, loan: u64, grant: &GrantId, tokens: Tokens) {
-        if self.fenced || !self.borrowed.insert(loan) {
-            return;
-        }
-        let account = self.budgets.entry(grant.budget.clone()).or_default();
-        let held = account.held.entry(grant.holder.clone()).or_default();
-        held.free += tokens;
-    }
-
-    /// Debits what is free of a borrowed grant, to be sent back to its holder.
-    pub fn start_repay(&mut self, grant: &GrantId) -> Tokens {
-        let held = self
-            .budgets
-            .get_mut(&grant.budget)
-            .filter(|_| grant.holder != self.me)
-            .and_then(|account| account.held.get_mut(&grant.holder));
-        held.map_or(Tokens::ZERO, |held| std::mem::take(&mut held.free))
-    }
-
-    /// Drops what is free of a borrowed grant whose holder was fenced; its tokens cannot be spent.
-    pub fn forget(&mut self, grant: &GrantId) {
-        self.start_repay(grant);
-    }
-
-    /// Takes back what a borrower returns of this entry's grant, once for each repayment.
-    pub fn repay(&mut self, borrower: (Incarnation, u64), grant: &GrantId, tokens: Tokens) {
-        if self.fenced || grant.holder != self.me || !self.repaid.insert(borrower) {
-            return;
-        }
-        if let Some(account) = self.budgets.get_mut(&grant.budget) {
-            account.lent = account.lent.saturating_sub(tokens);
-            account.held.entry(self.me.clone()).or_default().free += tokens;
-        }
-    }
-
-    /// Returns the borrowed grants with free tokens.
-    pub fn borrowed(&self) -> Vec<(GrantId, Tokens)> {
-        let mut grants = Vec::new();
-        for (budget, account) in &self.budgets {
-            for (holder, held) in account
-                .held
-                .iter()
-                .filter(|(holder, _)| **holder != self.me)
-            {
-                let grant = GrantId {
-                    budget: budget.clone(),
-                    holder: holder.clone(),
-                };
-                grants.push((grant, held.free));
-            }
-        }
-        grants.retain(|(_, free)| !free.is_zero());
-        grants
-    }
-}
-
 /// What is held.
 impl Wallet {
     /// Returns the budgets that this entry has used.
--- a/crates/budget/tests/budget/fake.rs
+++ b/crates/budget/tests/budget/fake.rs
@@ -9,7 +9,7 @@
 use cyc_platform::{
     Body, Change, Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Platform, Result, Vm,
 };
-use cyc_types::{ByteSize, Millis, Version};
+use cyc_types::{ByteSize, Clock, Millis, Version};
 
 /// What happens to one write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -176,3 +176,17 @@
         Ok(None)
     }
 }
+
+/// A clock that follows the runtime's paused time.
+pub fn runtime_clock() -> Clock {
+    const STEP: Millis = Millis::new(20);
+    let clock = Clock::new_manual(Millis::ZERO);
+    let moved = clock.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(STEP.duration()).await;
+            moved.advance(STEP);
+        }
+    });
+    clock
+}
--- a/crates/budget/tests/budget/keeper.rs
+++ b/crates/budget/tests/budget/keeper.rs
@@ -5,12 +5,12 @@
 use cyc_budget::{
     CloseReport, Keeper, Payment, Purse, Shard, keeper::Options, shard::shard_key, shard_of, top_up,
 };
-use cyc_types::{Clock, ErrorKind, Millis};
+use cyc_types::{ErrorKind, Millis};
 use googletest::prelude::*;
 use tokio::task::JoinHandle;
 
 use super::{
-    fake::{Fake, Fault},
+    fake::{Fake, Fault, runtime_clock},
     *,
 };
 
@@ -29,20 +29,6 @@
     Ok(())
 }
 
-/// A clock that follows the runtime's paused time.
-fn runtime_clock() -> Clock {
-    const STEP: Millis = Millis::new(20);
-    let clock = Clock::new_manual(Millis::ZERO);
-    let moved = clock.clone();
-    tokio::spawn(async move {
-        loop {
-            tokio::time::sleep(STEP.duration()).await;
-            moved.advance(STEP);
-        }
-    });
-    clock
-}
-
 fn start(fake: &Arc<Fake>, number: u64) -> (Purse, JoinHandle<()>) {
     let options = Options {
         shards: SHARDS,
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -19,7 +19,7 @@
 use cyc_platform::Platform;
 use cyc_proto::{GrantId, Receipt};
 use cyc_types::{BudgetId, Clock, Incarnation, Millis, RequestId, Tokens};
-use fake::Fake;
+use fake::{Fake, runtime_clock};
 
 const SHARDS: u32 = 4;
 const PATIENCE: Millis = Millis::new(60_000);
@@ -63,20 +63,6 @@
     top_up(fake, SHARDS, payment).await.unwrap();
 }
 
-/// A clock that follows the runtime's paused time.
-fn runtime_clock() -> Clock {
-    const STEP: Millis = Millis::new(20);
-    let clock = Clock::new_manual(Millis::ZERO);
-    let moved = clock.clone();
-    tokio::spawn(async move {
-        loop {
-            tokio::time::sleep(STEP.duration()).await;
-            moved.advance(STEP);
-        }
-    });
-    clock
-}
-
 fn purse(platform: Arc<dyn Platform>, number: u64, clock: &Clock) -> Purse {
     let options = keeper::Options {
         shards: SHARDS,
