--- a/crates/budget/src/purse.rs
+++ b/crates/budget/src/purse.rs
@@ -10,7 +10,8 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
-    keeper::{CloseReport, Command, Known},
+    close::CloseReport,
+    keeper::{Command, Known},
     op::{Applied, Op, OpError},
     policy,
     wallet::{HolderOp, Reservation, Reserve, Wallet},
@@ -178,10 +179,23 @@
         wanted.saturating_sub(self.wallet.own_free(budget))
     }
 
+    /// Returns the budgets of which tokens are free here.
+    pub(crate) fn held_budgets(&self) -> Vec<BudgetId> {
+        let mut budgets = self.wallet.budgets();
+        budgets.retain(|budget| !self.wallet.own_free(budget).is_zero());
+        budgets
+    }
+
+    /// Returns what was free in the shard when it was last read.
+    pub(crate) fn last_free(&self, budget: &BudgetId) -> Tokens {
+        let known = self.known.get(budget);
+        known.map_or(Tokens::ZERO, |known| known.free)
+    }
+
     /// Starts a draw ahead of need when little is left for the rate of use.
     fn refill(&mut self, shared: &Shared, budget: &BudgetId, now: Millis) -> Option<HolderOp> {
         let rate = self.wallet.rate(budget, now);
-        let low = shared.draws.keep(rate).get() / LOW_PART;
+        let low = shared.draws.keep(rate, self.last_free(budget)).get() / LOW_PART;
         let short = self.wallet.own_free(budget).get() < low;
         let due = short && self.wallet.draw_due(budget, shared.draws.idle, now);
         due.then(|| self.wallet.start_draw(budget, Tokens::new(1)))
@@ -321,13 +335,14 @@
     /// order of their sequences; waits as long as the platform is out.
     ///
     /// # Errors
-    /// The first refusal, with the grant; the other sums are billed all the same.
+    /// The refusals by grant, with `None` if the controller has ended; the other sums are billed
+    /// all the same.
     pub async fn settle_segment(
         &self,
         writer: &Incarnation,
         sequence: u64,
         sums: Vec<(GrantId, Tokens)>,
-    ) -> Result<(), (GrantId, Option<OpError>)> {
+    ) -> Result<(), Vec<(GrantId, Option<OpError>)>> {
         let settles = sums.into_iter().map(|(grant, spent)| async move {
             let op = Op::Settle {
                 grant: grant.clone(),
@@ -338,9 +353,11 @@
             self.apply(op).await.map_err(|error| (grant, error))
         });
         let results = futures::future::join_all(settles).await;
-        results
-            .into_iter()
-            .try_for_each(|result| result.map(|_| ()))
+        let refused: Vec<_> = results.into_iter().filter_map(Result::err).collect();
+        match refused.is_empty() {
+            true => Ok(()),
+            false => Err(refused),
+        }
     }
 
     /// Reads the record of a budget again.
@@ -356,7 +373,8 @@
         }
     }
 
-    /// Returns everything that is not reserved, closes empty grants and ends the controller.
+    /// Returns everything that is not reserved, closes empty grants and ends the controller. The
+    /// ledger has to be closed and loans repaid before.
     /// `wait` bounds how long the platform is tried.
     pub async fn close(&self, wait: Millis) -> CloseReport {
         let (tx, rx) = oneshot::channel();
--- a/crates/budget/tests/budget/keeper.rs
+++ b/crates/budget/tests/budget/keeper.rs
@@ -5,12 +5,12 @@
 use cyc_budget::{
     CloseReport, Keeper, Payment, Purse, Shard, keeper::Options, shard::shard_key, shard_of, top_up,
 };
-use cyc_types::{Clock, ErrorKind, Millis};
+use cyc_types::{ErrorKind, Millis};
 use googletest::prelude::*;
 use tokio::task::JoinHandle;
 
 use super::{
-    fake::{Fake, Fault},
+    fake::{Fake, Fault, runtime_clock},
     *,
 };
 
@@ -29,20 +29,6 @@
     Ok(())
 }
 
-/// A clock that follows the runtime's paused time.
-fn runtime_clock() -> Clock {
-    const STEP: Millis = Millis::new(20);
-    let clock = Clock::new_manual(Millis::ZERO);
-    let moved = clock.clone();
-    tokio::spawn(async move {
-        loop {
-            tokio::time::sleep(STEP.duration()).await;
-            moved.advance(STEP);
-        }
-    });
-    clock
-}
-
 fn start(fake: &Arc<Fake>, number: u64) -> (Purse, JoinHandle<()>) {
     let options = Options {
         shards: SHARDS,
@@ -157,7 +143,8 @@
     let waiter = purse.clone();
     let large = tokio::spawn(async move { waiter.reserve(&budget(), tokens(100), PATIENCE).await });
     tokio::task::yield_now().await;
-    // A chain of small requests that overlap never leaves all tokens free.
+    // A chain of small requests that overlap never leaves all tokens free; it has to be stopped.
+    let mut stopped = false;
     for _ in 0..100 {
         match purse.reserve(&budget(), tokens(50), Millis::SECOND).await {
             Ok(next) => {
@@ -166,10 +153,12 @@
             }
             Err(refusal) => {
                 expect_that!(refusal.kind, eq(ErrorKind::BudgetUnreachable));
+                stopped = true;
                 break;
             }
         }
     }
+    expect_that!(stopped, eq(true));
     purse.release(held);
     expect_that!(large.await?, ok(anything()));
     Ok(())
@@ -197,3 +186,23 @@
     expect_that!(reserved, ok(anything()));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_busy_entry_gives_up_what_others_lack() -> Result<()> {
+    let fake = Arc::new(Fake::default());
+    pay(&fake, "first", 10_000).await?;
+    let (busy, _task) = start(&fake, 1);
+    let all = busy.reserve(&budget(), tokens(900), PATIENCE).await?;
+    busy.release(all);
+    tokio::spawn(async move {
+        while let Ok(reservation) = busy.reserve(&budget(), tokens(1), PATIENCE).await {
+            busy.settle(reservation, tokens(1));
+            tokio::time::sleep(Millis::new(200).duration()).await;
+        }
+    });
+    let (other, _task) = start(&fake, 2);
+    let reserved = other.reserve(&budget(), tokens(9_500), PATIENCE).await;
+    expect_that!(reserved, ok(anything()));
+    Ok(())
+}
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -4,15 +4,22 @@
 mod fake;
 #[path = "ledger/flush.rs"]
 mod flush;
+#[path = "ledger/gate.rs"]
+mod gate;
+#[path = "ledger/merge.rs"]
+mod merge;
+#[path = "ledger/reclaim.rs"]
+mod reclaim;
 
 use std::sync::Arc;
 
 use cyc_budget::{
     Keeper, Payment, Purse, Record, Shard, keeper, shard::shard_key, shard_of, top_up,
 };
+use cyc_platform::Platform;
 use cyc_proto::{GrantId, Receipt};
 use cyc_types::{BudgetId, Clock, Incarnation, Millis, RequestId, Tokens};
-use fake::Fake;
+use fake::{Fake, runtime_clock};
 
 const SHARDS: u32 = 4;
 const PATIENCE: Millis = Millis::new(60_000);
@@ -57,26 +64,12 @@
     top_up(fake, SHARDS, payment).await.unwrap();
 }
 
-/// A clock that follows the runtime's paused time.
-fn runtime_clock() -> Clock {
-    const STEP: Millis = Millis::new(20);
-    let clock = Clock::new_manual(Millis::ZERO);
-    let moved = clock.clone();
-    tokio::spawn(async move {
-        loop {
-            tokio::time::sleep(STEP.duration()).await;
-            moved.advance(STEP);
-        }
-    });
-    clock
-}
-
-fn purse(fake: &Arc<Fake>, number: u64, clock: &Clock) -> Purse {
+fn purse(platform: Arc<dyn Platform>, number: u64, clock: &Clock) -> Purse {
     let options = keeper::Options {
         shards: SHARDS,
         ..keeper::Options::default()
     };
-    let (purse, keeper) = Keeper::new(fake.clone(), entry(number), clock.clone(), options);
+    let (purse, keeper) = Keeper::new(platform, entry(number), clock.clone(), options);
     tokio::spawn(keeper.run());
     purse
 }
