--- /dev/null
+++ b/crates/route/examples/rules.rs
@@ -0,0 +1,94 @@
+//! Compares the routing rules on a small queueing model of engines with prefix caches.
+//!
+//! `cargo run --release -p cyc-route --example rules` prints, for each fleet and rule, the share of
+//! prompt blocks found in a cache and the time to the first token. Every run prints the same.
+
+#[path = "rules/engine.rs"]
+mod engine;
+#[path = "rules/model.rs"]
+mod model;
+
+use cyc_route::{Options, Rule};
+use cyc_types::size::ParseValueError;
+use model::{Fleet, Outcome};
+
+const SEEDS: u64 = 5;
+
+/// The delays that a request meets in the model, as the estimate should see them.
+fn options(fleet: &Fleet) -> Options {
+    Options {
+        request_ms: 60.0,
+        block_ms: engine::BLOCK_MS as f64,
+        zone_ms: fleet.zone_ms,
+        ..Options::default()
+    }
+}
+
+fn variants(fleet: &Fleet) -> Vec<(String, Options)> {
+    let base = options(fleet);
+    let of = |candidates| Options {
+        candidates,
+        ..base.clone()
+    };
+    let mut variants: Vec<_> = [2, 4, 8]
+        .map(|k| (format!("estimate, {k} candidates"), of(k)))
+        .into();
+    let all = base.candidates.max(fleet.engines);
+    variants.push(("estimate, all".into(), of(all)));
+    let blind = Options {
+        block_ms: 0.0,
+        ..of(all)
+    };
+    variants.push(("estimate, all, no prefixes".into(), blind));
+    for rule in [Rule::LeastLoaded, Rule::RoundRobin] {
+        variants.push((
+            rule.to_string(),
+            Options {
+                rule,
+                ..base.clone()
+            },
+        ));
+    }
+    variants
+}
+
+fn main() -> Result<(), ParseValueError> {
+    println!(
+        "| fleet | gap an engine | rule | prefix hits | first token p50 | p95 | p95 by seed |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for fleet in [Fleet::DALA, Fleet::HANBIT] {
+        for gap_ms in model::GAPS_MS {
+            for (name, options) in variants(&fleet) {
+                print_row(&fleet, gap_ms, &name, &options)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn print_row(
+    fleet: &Fleet,
+    gap_ms: f64,
+    name: &str,
+    options: &Options,
+) -> Result<(), ParseValueError> {
+    let mut all = Outcome::default();
+    let mut by_seed = Vec::new();
+    for seed in 0..SEEDS {
+        let one = model::run(fleet, gap_ms, options, seed)?;
+        by_seed.push(one.percentile(95));
+        all.add(one);
+    }
+    by_seed.sort_unstable();
+    println!(
+        "| {} | {gap_ms} ms | {name} | {:.1} % | {} ms | {} ms | {} to {} ms |",
+        fleet.name,
+        100.0 * all.hit_share(),
+        all.percentile(50),
+        all.percentile(95),
+        by_seed.first().unwrap_or(&0),
+        by_seed.last().unwrap_or(&0),
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/route/examples/rules/engine.rs
@@ -0,0 +1,90 @@
+//! An engine that runs a batch of requests and caches prompt blocks in limited memory.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Requests that one engine runs at a time.
+const SLOTS: usize = 8;
+/// Blocks that the cache of one engine holds.
+const CACHE_BLOCKS: usize = 400;
+/// Time to process one block that is not cached.
+pub const BLOCK_MS: u64 = 10;
+/// Time from the start to the first token with everything cached.
+const BASE_MS: u64 = 20;
+
+/// One request in the model.
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub arrived: u64,
+    pub entry: usize,
+    pub blocks: Vec<u64>,
+    /// Time from the first token to the last one.
+    pub decode_ms: u64,
+}
+
+/// A job that got a slot.
+pub struct Started {
+    pub job: Job,
+    pub hits: usize,
+    pub first_token: u64,
+}
+
+#[derive(Default)]
+pub struct Engine {
+    running: usize,
+    queue: VecDeque<Job>,
+    /// When the prefills that have begun are through: one is processed at a time.
+    prefill_free: u64,
+    cached: HashMap<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+    uses: u64,
+}
+
+impl Engine {
+    pub fn load(&self) -> (u32, u32) {
+        (self.running as u32, self.queue.len() as u32)
+    }
+
+    pub fn push(&mut self, job: Job) {
+        self.queue.push_back(job);
+    }
+
+    pub fn finish(&mut self) {
+        self.running -= 1;
+    }
+
+    /// Starts the next job if a slot is free.
+    pub fn start(&mut self, now: u64) -> Option<Started> {
+        if self.running == SLOTS {
+            return None;
+        }
+        let job = self.queue.pop_front()?;
+        self.running += 1;
+        let known = job
+            .blocks
+            .iter()
+            .take_while(|block| self.cached.contains_key(block));
+        let hits = known.count();
+        let prefill = BASE_MS + (job.blocks.len() - hits) as u64 * BLOCK_MS;
+        let first_token = now.max(self.prefill_free) + prefill;
+        self.prefill_free = first_token;
+        job.blocks.iter().for_each(|block| self.cache(*block));
+        Some(Started {
+            job,
+            hits,
+            first_token,
+        })
+    }
+
+    fn cache(&mut self, block: u64) {
+        self.uses += 1;
+        if let Some(last) = self.cached.insert(block, self.uses) {
+            self.by_use.remove(&last);
+        }
+        self.by_use.insert(self.uses, block);
+        if self.cached.len() > CACHE_BLOCKS
+            && let Some((_, oldest)) = self.by_use.pop_first()
+        {
+            self.cached.remove(&oldest);
+        }
+    }
+}
