claim: test of a claim whose caller goes away with the outcome sent

Cause: leaving out the end in the drop of a waiting claim failed no test.

Ruled out: relying on the race test for it. Its callers go away while the write is under way, not between the outcome and its receipt.

Change: a test that polls the claim once, lets the write finish and drops the future.

Before and after: fails without that end, passes with it.

--- a/crates/claim/tests/claim/commit.rs
+++ b/crates/claim/tests/claim/commit.rs
@@ -278,3 +278,31 @@
     expect_that!(fake.bucket(&key).claims.len(), eq(1));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_nobody_took_ends_as_not_run() -> Result<()> {
+    let fake = Fake::new(1, Faults::default());
+    let clock = Clock::new_manual(Millis::new(1));
+    let one = committer(&fake, "vm-1", &clock, Options::default())?;
+    let (service, id) = (service()?, RequestId::new(1));
+    let mut claiming = Box::pin(one.claim(&service, 0, id, 1, WAIT));
+    tokio::select! {
+        biased;
+        _ = &mut claiming => {}
+        () = std::future::ready(()) => {}
+    }
+    let state = || {
+        fake.bucket(&object_key(&service, 0))
+            .claims
+            .remove(&id)
+            .map(|c| c.state)
+    };
+    one.flush().await;
+    expect_that!(state(), some(eq(&State::Claimed)));
+    // The caller goes away with the outcome on its way to it.
+    drop(claiming);
+    one.flush().await;
+    expect_that!(state(), some(eq(&State::NotRun)));
+    Ok(())
+}
