claim: operations of a bucket in a module of their own

Ruled out: nothing.

Change: the waiting operations move to op.rs, unchanged.

Conclusion: no change of behaviour.

--- a/crates/claim/src/commit.rs
+++ b/crates/claim/src/commit.rs
@@ -15,8 +15,9 @@
 
 use crate::{
     bucket::{State, object_key},
+    op::Op,
     waiter::{Stage, Waiter},
-    worker::{Cached, Op, work},
+    worker::{Cached, work},
 };
 
 /// How claims are kept.
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod bucket;
 pub mod commit;
+mod op;
 mod waiter;
 mod worker;
 
--- a/crates/claim/src/worker.rs
+++ b/crates/claim/src/worker.rs
@@ -9,31 +9,10 @@
 use crate::{
     bucket::{Added, Bucket, Claim, Draft, State},
     commit::{ClaimOutcome, Inner},
+    op::{Op, drop_abandoned},
     waiter::Stage,
 };
 
-/// One operation on a bucket. Applying it again after it took effect changes nothing.
-#[derive(Debug)]
-pub(crate) enum Op {
-    /// Adds a claim.
-    Claim {
-        request: RequestId,
-        fingerprint: u64,
-        serial: u64,
-        stage: Stage,
-        tx: oneshot::Sender<ClaimOutcome>,
-    },
-    /// Ends the claim with this serial number, if it is open.
-    ///
-    /// The number matters: after a lost answer the operations are applied again, and by then
-    /// a later claim of the same request may stand in the place of the one that was ended.
-    End {
-        request: RequestId,
-        serial: u64,
-        state: State,
-    },
-}
-
 /// A bucket as last read or written.
 #[derive(Debug, Clone)]
 pub(crate) struct Cached {
@@ -282,28 +261,3 @@
         change(&mut queues.entry(self.key.clone()).or_default().held)
     }
 }
-
-/// Drops claims that were given up before any write carried them, and turns those that a write
-/// has carried into their end.
-fn drop_abandoned(ops: &mut Vec<Op>) {
-    for op in mem::take(ops) {
-        match op {
-            Op::Claim {
-                request,
-                serial,
-                stage,
-                tx,
-                ..
-            } if tx.is_closed() => {
-                if stage.is_sent() {
-                    ops.push(Op::End {
-                        request,
-                        serial,
-                        state: State::NotRun,
-                    });
-                }
-            }
-            kept => ops.push(kept),
-        }
-    }
-}
