Tests of the stand-ins see a leaked slot and a relay that holds nothing back

Ruled out: sleeping before the look at a held answer (timing). Change: after each faulty answer the batch must become empty; a held request or answer must stay away while 50 others are served; waits for a condition end after a minute, as a guard only. Conclusion: no test was eased; both checks are stricter than before.

--- a/crates/standin/tests/standin/engine.rs
+++ b/crates/standin/tests/standin/engine.rs
@@ -1,5 +1,7 @@
 //! The engine's contract: streams, faults of answers, cancel, resume, orders, cache and load.
 
+use std::time::Duration;
+
 use axum::{Router, body::Body};
 use cyc_standin::{
     client::{Answer, Client},
@@ -17,6 +19,9 @@
 use tokio::time::Instant;
 use tower::ServiceExt as _;
 
+/// How long a condition that must come true may take.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
 struct Bench {
     engine: Engine,
     client: Client,
@@ -104,10 +109,15 @@
         })
     }
 
-    async fn until(&self, holds: impl Fn(&Counters, &Load) -> bool) {
-        while !holds(&self.engine.counters(), &self.engine.load()) {
-            tokio::task::yield_now().await;
-        }
+    /// Waits for a condition that the engine comes to by itself.
+    async fn until(&self, holds: impl Fn(&Counters, &Load) -> bool) -> Result<()> {
+        let waiting = async {
+            while !holds(&self.engine.counters(), &self.engine.load()) {
+                tokio::task::yield_now().await;
+            }
+        };
+        // Only keeps a broken engine from holding up the test run.
+        tokio::time::timeout(MAX_WAIT, waiting).await.or_fail()
     }
 
     async fn cancel(&self, id: &str) -> Result<Value> {
@@ -279,6 +289,7 @@
         expect_that!(answer.status, eq(status), "{faults:?}");
         expect_that!(answer.complete, eq(complete), "{faults:?}");
         expect_that!(bench.engine.counters().runs_of("r"), eq(runs), "{faults:?}");
+        bench.until(|_, load| load.running == 0).await?;
         if answer.status == ok {
             let stream = parse(&answer)?;
             expect_that!(
@@ -319,7 +330,9 @@
         .send_json(Method::PUT, "/admin/faults", &faults)
         .await?;
     let run = bench.spawn(chat("r", "guide"));
-    bench.until(|counters, _| counters.runs_of("r") == 1).await;
+    bench
+        .until(|counters, _| counters.runs_of("r") == 1)
+        .await?;
     expect_that!(run.is_finished(), eq(false));
     run.abort();
     Ok(())
@@ -336,7 +349,7 @@
     let run = bench.spawn(chat("r", "guide"));
     bench
         .until(|counters, _| counters.tokens_generated == 2)
-        .await;
+        .await?;
     expect_that!(
         bench.cancel("other").await?,
         eq(&json!({"cancelled": false}))
@@ -346,7 +359,7 @@
     expect_that!(stream.reason, eq("cancelled"));
     expect_that!(stream.completion_tokens, some(eq(2)));
     expect_that!(stream.text, eq(&expected_text("guide", 2)));
-    bench.until(|_, load| load.running == 0).await;
+    bench.until(|_, load| load.running == 0).await?;
     Ok(())
 }
 
@@ -395,13 +408,13 @@
             .until(|counters, load| {
                 counters.tokens_generated == 1 && load.waiting == waiting as u64
             })
-            .await;
+            .await?;
     }
     // Each run stalls after one token, so the tokens tell which run has the slot.
     for (tokens, id) in [(1, "first"), (2, "high"), (3, "low")] {
         bench
             .until(|counters, _| counters.tokens_generated == tokens)
-            .await;
+            .await?;
         bench.cancel(id).await?;
     }
     for (id, run) in runs {
@@ -412,7 +425,7 @@
 }
 
 /// Runs chats at the same time on the paused clock and returns how long they took.
-async fn elapsed(router: &Router, reqs: &[ChatRequest]) -> Result<std::time::Duration> {
+async fn elapsed(router: &Router, reqs: &[ChatRequest]) -> Result<Duration> {
     let start = Instant::now();
     let mut runs = Vec::new();
     for req in reqs {
--- a/crates/standin/tests/standin/relay.rs
+++ b/crates/standin/tests/standin/relay.rs
@@ -9,6 +9,9 @@
 use googletest::prelude::*;
 use tokio::task::JoinHandle;
 
+/// Direct round trips during which held bytes must not arrive.
+const OTHERS: u64 = 50;
+
 struct Bench {
     service: Service,
     direct: Client,
@@ -31,6 +34,16 @@
 }
 
 impl Bench {
+    /// Serves others directly, one after the other, and returns how often the relayed path has
+    /// run. A relayed request or answer that is not held back arrives meanwhile.
+    async fn serve_others(&self) -> Result<u64> {
+        for _ in 0..OTHERS {
+            self.direct.get("/others").await?;
+        }
+        let counters = self.service.counters();
+        Ok(counters.by_path.get("/kits").copied().unwrap_or_default())
+    }
+
     /// Sends a request through the relay; the number of its run if an answer comes.
     fn spawn(&self) -> JoinHandle<Option<u64>> {
         let client = self.relayed.clone();
@@ -69,6 +82,7 @@
     bench.relay.hold(Direction::FromTarget);
     let late = bench.spawn();
     bench.until_runs(1).await;
+    expect_that!(bench.serve_others().await?, eq(1));
     expect_that!(late.is_finished(), eq(false));
     bench.relay.heal();
     expect_that!(late.await?, some(eq(1)));
@@ -86,14 +100,10 @@
         let before = u64::from(connected);
         bench.relay.black_hole();
         let late = bench.spawn();
-        // Others are served meanwhile.
-        expect_that!(
-            bench.direct.get("/kits").await?.json::<Answer>()?.run,
-            eq(before + 1)
-        );
+        expect_that!(bench.serve_others().await?, eq(before));
         expect_that!(late.is_finished(), eq(false));
         bench.relay.heal();
-        expect_that!(late.await?, some(eq(before + 2)));
+        expect_that!(late.await?, some(eq(before + OTHERS + 1)));
     }
     Ok(())
 }
