Count requests by service level; burn rates, error budgets and their plot

Cause: nothing recorded whether requests met their objectives, refusals after the filter chain were missing from the spend report, and the entry had no gauges. Ruled out: counts in the entries alone: they come and go. Change: the entry judges each request by class, zone and service against the objective in force and writes the counts with its receipt segments; crate burn makes the report, the two-window alert and the SVG plot of them; refusals by targets count for the spend report when they were not run; gauges once a second, names in cyc_obs::names. Before and after: with the judge, the buckets, the alert or the counter broken on purpose, 7 of the new tests fail; unbroken all 12 pass. Conclusion: the platform's objects hold the service levels.

--- a/crates/budget/src/purse.rs
+++ b/crates/budget/src/purse.rs
@@ -310,6 +310,18 @@
         self.shared.update(|state| f(&mut state.wallet))
     }
 
+    /// Returns the number of requests that wait for tokens.
+    pub fn waiting(&self) -> usize {
+        self.shared.lock().queues.values().map(VecDeque::len).sum()
+    }
+
+    /// Returns the tokens of the own grants that no request has reserved.
+    pub fn idle_tokens(&self) -> Tokens {
+        let wallet = &self.shared.lock().wallet;
+        let budgets = wallet.budgets();
+        budgets.iter().map(|budget| wallet.own_free(budget)).sum()
+    }
+
     /// Returns the last known record of a budget.
     pub fn known(&self, budget: &BudgetId) -> Option<Known> {
         self.shared.lock().known.get(budget).copied()
--- a/crates/entry/src/api/call.rs
+++ b/crates/entry/src/api/call.rs
@@ -6,7 +6,7 @@
 use cyc_types::{ErrorKind, Refusal, RequestId, ServiceId, Tokens, hash};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
-use crate::{api::problem, cx::Ask, forward::Events};
+use crate::{api::problem, cx::Ask, observe::Events};
 
 /// A call as the API received it.
 #[derive(Debug)]
--- a/crates/entry/src/api/chat.rs
+++ b/crates/entry/src/api/chat.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
-use crate::{api::problem, cx::Ask, forward::Events};
+use crate::{api::problem, cx::Ask, observe::Events};
 
 /// Output limit of a request that names none.
 const DEFAULT_MAX_TOKENS: u64 = 1_024;
--- a/crates/entry/src/api/server.rs
+++ b/crates/entry/src/api/server.rs
@@ -16,8 +16,8 @@
 use crate::{
     api::{call, chat, headers, problem},
     app::App,
-    chain,
     cx::Cx,
+    observe,
 };
 
 /// How long a caller may take to send a body.
@@ -62,9 +62,9 @@
     };
     let (mut cx, chat) = match read.await {
         Ok(read) => read,
-        Err(refusal) => return problem::respond(RequestId::random(), &refusal),
+        Err(refusal) => return unread(&app, &refusal),
     };
-    match run(&app, &mut cx).await {
+    match observe::run(&app, &mut cx).await {
         Ok(events) => chat::respond(cx.request, &chat, events).await,
         Err(refusal) => problem::respond(cx.request, &refusal),
     }
@@ -98,19 +98,18 @@
     };
     let mut cx = match read.await {
         Ok(cx) => cx,
-        Err(refusal) => return problem::respond(RequestId::random(), &refusal),
+        Err(refusal) => return unread(&app, &refusal),
     };
-    match run(&app, &mut cx).await {
+    match observe::run(&app, &mut cx).await {
         Ok(events) => call::respond(cx.request, events).await,
         Err(refusal) => problem::respond(cx.request, &refusal),
     }
 }
 
-async fn run(app: &Arc<App>, cx: &mut Cx) -> Result<crate::forward::Events, Refusal> {
-    chain::run(app, cx).await?;
-    cx.events
-        .take()
-        .ok_or_else(|| Refusal::new(ErrorKind::Internal, "nothing was forwarded"))
+/// Answers a request that could not be read.
+fn unread(app: &App, refusal: &Refusal) -> Response {
+    observe::count_refusal(app, refusal.kind);
+    problem::respond(RequestId::random(), refusal)
 }
 
 /// Returns the configuration, but only to a caller with a known key: others learn nothing.
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -5,7 +5,6 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use cadence::Counted as _;
 use cyc_budget::Purse;
 use cyc_claim::{BUCKETS, bucket_of};
 use cyc_config::InForce;
@@ -22,6 +21,7 @@
     cx::Cx,
     fleet::{Fleet, Sidecar},
     forward::Job,
+    observe,
 };
 
 /// The limits of an entry.
@@ -157,10 +157,7 @@
 impl App {
     /// Counts a refusal for the spend report.
     pub fn note_refusal(&self, cx: &Cx, refusal: &Refusal) {
-        // A metric that cannot be sent is dropped: no request may wait for it.
-        self.metrics
-            .count(&format!("refused.{}", refusal.kind), 1)
-            .ok();
+        observe::count_refusal(self, refusal.kind);
         if let Some(caller) = &cx.caller {
             let money_remained = refusal.kind != ErrorKind::BudgetExhausted;
             self.ledger
--- /dev/null
+++ b/crates/entry/src/control/gauges.rs
@@ -0,0 +1,49 @@
+//! Emits the state of the entry as gauges.
+
+use std::sync::Arc;
+
+use cadence::Gauged as _;
+use cyc_obs::names;
+use cyc_proto::sidecar::RouteClass;
+use cyc_types::Millis;
+use strum::IntoEnumIterator as _;
+
+use crate::app::App;
+
+/// Time between two readings.
+const GAUGE_INTERVAL: Millis = Millis::new(1_000);
+
+/// Emits all gauges for as long as the process runs.
+pub async fn run(app: Arc<App>) {
+    let mut interval = tokio::time::interval(GAUGE_INTERVAL.duration());
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        emit(&app);
+    }
+}
+
+/// Emits all gauges once.
+pub fn emit(app: &App) {
+    // A metric that cannot be sent is dropped: the next reading follows soon.
+    let gauge = |name: &str, value: u64| {
+        app.metrics.gauge(name, value).ok();
+    };
+    gauge(names::IN_FLIGHT, app.in_flight());
+    for class in RouteClass::iter() {
+        let (busy, waiting) = app.pools.of(class).depth();
+        gauge(&format!("{}{class}", names::POOL_BUSY), busy as u64);
+        gauge(&format!("{}{class}", names::POOL_WAITING), waiting as u64);
+    }
+    gauge(names::RESERVATIONS_WAITING, app.purse.waiting() as u64);
+    gauge(names::GRANTS_IDLE, app.purse.idle_tokens().get());
+    let ledger = app.ledger.status();
+    gauge(names::RECEIPTS_UNFLUSHED, ledger.unflushed);
+    gauge(names::RECEIPTS_UNSETTLED, ledger.unsettled);
+    gauge(names::ATTEMPTS_OPEN, app.books.open_attempts() as u64);
+    gauge(names::SIDECARS_REACHABLE, app.fleet.reachable() as u64);
+    let ejected = app.fleet.ejected(app.clock.now());
+    gauge(names::TARGETS_EJECTED, ejected as u64);
+    gauge(names::FENCED, u64::from(*app.fenced().borrow()));
+    gauge(names::CONFIG_REVISION, app.config.revision().get());
+}
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! system.
 
 pub mod follow;
+pub mod gauges;
 pub mod heartbeat;
 pub mod release;
 pub mod vms;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -88,6 +88,7 @@
     let key = ProcessKey::new(settings.access.process_key.as_str());
     let app = build(&settings, platform.clone(), me, &key)?;
     let server = serve(peer_listener, &key, Rpc::new(app.clone()).into_rpc())?;
+    tokio::spawn(control::gauges::run(app.clone()));
     tokio::spawn(control::heartbeat::run(app.clone()));
     tokio::spawn(control::vms::run(app.clone(), platform.clone()));
     let seeds = settings.peers.seeds.clone();
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -7,7 +7,7 @@
 };
 
 use cyc_proto::{Link, ProcessKey, sidecar::HeartbeatReply};
-use cyc_route::{Ask, Failure, Health, Options, Target, candidates, choose, health};
+use cyc_route::{Ask, Failure, Health, Options, Standing, Target, candidates, choose, health};
 use cyc_types::{AvailabilityZone, Incarnation, Millis, ServiceId, TargetId};
 
 /// Hashes of cached prefixes kept for each target.
@@ -205,6 +205,12 @@
         self.lock().rows.iter().filter(answered).count()
     }
 
+    /// Returns the number of targets that get no requests because requests failed there.
+    pub fn ejected(&self, now: Millis) -> usize {
+        let ejected = |row: &&Row| row.health.standing(now) != Standing::Open;
+        self.lock().rows.iter().filter(ejected).count()
+    }
+
     fn with_target<T>(
         &self,
         id: &TargetId,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod listen;
+pub mod observe;
 pub mod peer;
 pub mod relay;
 
--- /dev/null
+++ b/crates/entry/tests/entry.rs
@@ -0,0 +1,4 @@
+//! Tests of the entry's parts.
+
+#[path = "entry/observe.rs"]
+mod observe;
--- a/crates/ledger/src/flush.rs
+++ b/crates/ledger/src/flush.rs
@@ -15,7 +15,10 @@
     time::Instant,
 };
 
-use crate::segment::{RefusalCount, Segment};
+use crate::{
+    level::{Levels, Series},
+    segment::{RefusalCount, Segment},
+};
 
 /// The settings of the controller.
 #[derive(Debug, Clone, Copy)]
@@ -85,6 +88,7 @@
 struct State {
     receipts: Vec<Receipt>,
     refusals: BTreeMap<(BudgetId, ErrorKind, bool), (u64, Tokens)>,
+    levels: Levels,
     seen: BTreeMap<RequestId, Seen>,
     status: Status,
     closing: Option<oneshot::Sender<()>>,
@@ -142,6 +146,13 @@
         *tokens += worst;
     }
 
+    /// Counts a request by service level. One that was not answered has no latency.
+    pub fn observe(&self, series: Series, good: bool, latency: Option<Millis>) {
+        let now = self.shared.clock.wall();
+        let mut state = self.shared.lock();
+        state.levels.add(now, series, good, latency);
+    }
+
     /// Returns false while too many receipts wait; then no new request should be taken. Receipts
     /// of requests that run are taken all the same.
     pub fn has_room(&self) -> bool {
@@ -262,6 +273,9 @@
         let mut refusals = take_refusals(&mut state);
         segment.fill(&mut state.receipts, &mut refusals);
         put_back(&mut state, refusals);
+        let mut levels = state.levels.take();
+        segment.fill_levels(&mut levels);
+        state.levels.put_back(levels);
         let count = segment.receipts.len() as u64;
         state.status.unflushed = state.status.unflushed.saturating_sub(count);
         state.status.unsettled += count;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod evidence;
 pub mod flush;
+pub mod level;
 pub mod merge;
 pub mod month;
 pub mod read;
@@ -12,6 +13,7 @@
 
 pub use evidence::{Evidence, Reason, Unresolved};
 pub use flush::{Billed, Flusher, Ledger};
+pub use level::{LevelCount, Series};
 pub use merge::{MergeRecord, merge};
 pub use reclaim::{Fences, Reclaimer, Sidecars};
 pub use report::{Report, report};
--- a/crates/ledger/src/segment.rs
+++ b/crates/ledger/src/segment.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::format_smolstr;
 
+use crate::level::LevelCount;
+
 /// The largest segment. The platform takes a little more.
 pub const MAX_SEGMENT_BYTES: usize = 600_000;
 /// Room for the fields of a segment beside its lists.
@@ -27,6 +29,9 @@
     /// The refusals since the last segment.
     #[serde(default)]
     pub refusals: Vec<RefusalCount>,
+    /// The counts by service level since the last segment.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub levels: Vec<LevelCount>,
 }
 
 /// Refused requests of one kind.
@@ -79,6 +84,7 @@
             at,
             receipts: Vec::new(),
             refusals: Vec::new(),
+            levels: Vec::new(),
         }
     }
 
@@ -94,9 +100,17 @@
         move_fitting(refusals, &mut self.refusals, &mut room);
     }
 
+    /// Moves counts by service level into the segment, as many as fit beside what it holds.
+    pub fn fill_levels(&mut self, levels: &mut Vec<LevelCount>) {
+        let used = serde_json::to_vec(&(&self.receipts, &self.refusals));
+        let used = used.map_or(MAX_SEGMENT_BYTES, |json| json.len());
+        let mut room = MAX_SEGMENT_BYTES.saturating_sub(HEADER_BYTES + used);
+        move_fitting(levels, &mut self.levels, &mut room);
+    }
+
     /// Returns true if there is nothing to write.
     pub fn is_empty(&self) -> bool {
-        self.receipts.is_empty() && self.refusals.is_empty()
+        self.receipts.is_empty() && self.refusals.is_empty() && self.levels.is_empty()
     }
 
     /// Returns the sum of the receipts of each grant.
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -6,6 +6,8 @@
 mod flush;
 #[path = "ledger/gate.rs"]
 mod gate;
+#[path = "ledger/level.rs"]
+mod level;
 #[path = "ledger/merge.rs"]
 mod merge;
 #[path = "ledger/reclaim.rs"]
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod daemon;
 pub mod log;
 pub mod metrics;
+pub mod names;
 pub mod signal;
 
 pub use daemon::{EXIT_FAILED, EXIT_USAGE, run_daemon};
