Record which sidecar incarnations an entry may have sent work to

Cause: a sidecar that restarts loses its receipts, and then answers a fence with empty evidence: an entry and a sidecar that died together would have left a grant that is given back whole, although runs may have used part of it. Ruled out: asking the platform's clock which process started first (no clocks in the argument); durable receipts at the sidecar (a write for each run). Change: entries record contacts before the first request to a sidecar incarnation, and a later incarnation only when nothing is open with the earlier one; seal() for the reclaim. Before: choose took any sidecar that had answered. The reclaim does not read the record yet; its test follows with it. Conclusion: the evidence that a reclaim needs can be named.

--- a/crates/entry/src/books.rs
+++ b/crates/entry/src/books.rs
@@ -119,6 +119,15 @@
         doubts
     }
 
+    /// Returns true if no attempt and no unsettled receipt of `target` is open.
+    pub fn is_clear(&self, target: &TargetId) -> bool {
+        let state = self.state();
+        let mut attempts = state.pending.values().flatten();
+        let mut sources = state.sources.values().flatten();
+        !attempts.any(|pending| pending.target == *target)
+            && !sources.any(|sidecar| sidecar.target == *target)
+    }
+
     /// Returns the number of open attempts.
     pub fn open_attempts(&self) -> usize {
         self.state().pending.values().map(Vec::len).sum()
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -89,6 +89,7 @@
     let app = build(&settings, platform.clone(), me, &key)?;
     let server = serve(peer_listener, &key, Rpc::new(app.clone()).into_rpc())?;
     tokio::spawn(control::heartbeat::run(app.clone()));
+    tokio::spawn(control::contacts::run(app.clone(), platform.clone()));
     tokio::spawn(control::vms::run(app.clone(), platform.clone()));
     let seeds = settings.peers.seeds.clone();
     tokio::spawn(control::follow::run(app.clone(), platform, seeds, key));
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -79,6 +79,15 @@
     place: Place,
     sidecar: Arc<Sidecar>,
     health: Health,
+    /// The incarnation that may be sent work, as recorded in the platform.
+    recorded: Option<Incarnation>,
+}
+
+impl Row {
+    /// Returns true if the incarnation that answered last is recorded.
+    fn is_recorded(&self) -> bool {
+        self.recorded.is_some() && self.recorded == self.sidecar.incarnation()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -174,6 +183,7 @@
                 place,
                 sidecar,
                 health,
+                recorded: None,
             },
             target,
         )
@@ -196,11 +206,11 @@
             .collect()
     }
 
-    /// Returns the number of sidecars that answered the last heartbeat.
+    /// Returns the number of sidecars that answered the last heartbeat and may be sent work.
     pub fn reachable(&self) -> usize {
         let answered = |row: &&Row| {
-            let seen = row.sidecar.lock();
-            seen.reply.is_some() && seen.missed == 0
+            let missed = row.sidecar.lock().missed;
+            row.is_recorded() && missed == 0
         };
         self.lock().rows.iter().filter(answered).count()
     }
@@ -248,6 +258,13 @@
         is_new.unwrap_or_default()
     }
 
+    /// Notes which incarnations may be sent work.
+    pub fn set_recorded(&self, contacts: &BTreeMap<TargetId, Incarnation>) {
+        for row in &mut self.lock().rows {
+            row.recorded = contacts.get(&row.place.target).cloned();
+        }
+    }
+
     /// Counts a heartbeat without an answer; a target that misses several is ejected.
     pub fn missed(&self, target: &TargetId, now: Millis) {
         self.with_target(target, |_, row| {
@@ -290,7 +307,7 @@
 
 /// # Choice
 impl Fleet {
-    /// Returns the best target that is not in `tried` and has answered a heartbeat.
+    /// Returns the best target that is not in `tried` and may be sent work.
     pub fn choose(&self, ask: &Ask<'_>, tried: &[TargetId]) -> Option<Arc<Sidecar>> {
         let mut rows = self.lock();
         rows.turn += 1;
@@ -303,10 +320,16 @@
             target.standing = row.health.standing(ask.now);
         }
         let ranked = choose(targets, &ask, &self.options);
-        let open = ranked.into_iter().map(|index| &rows[index].sidecar);
-        open.filter(|sidecar| !tried.contains(&sidecar.target))
-            .find(|sidecar| sidecar.incarnation().is_some())
-            .cloned()
+        let open = ranked.into_iter().map(|index| &rows[index]);
+        open.filter(|row| !tried.contains(&row.place.target))
+            .find(|row| row.is_recorded())
+            .map(|row| row.sidecar.clone())
+    }
+
+    /// Returns the incarnation at a target that may be sent work.
+    pub fn usable(&self, target: &TargetId) -> Option<Incarnation> {
+        let usable = |row: &Row| row.is_recorded().then(|| row.recorded.clone());
+        self.with_target(target, |_, row| usable(row))??
     }
 
     /// Returns the targets, in the order of rendezvous hashing, at which a retry of the request
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -183,7 +183,7 @@
     }
 
     async fn attempt(&mut self, sidecar: Arc<Sidecar>) -> Step {
-        let Some(incarnation) = sidecar.incarnation() else {
+        let Some(incarnation) = self.app.fleet.usable(&sidecar.target) else {
             return Step::Next(Refusal::new(
                 ErrorKind::NoTarget,
                 "the sidecar is not known yet",
--- /dev/null
+++ b/crates/member/src/contacts.rs
@@ -0,0 +1,115 @@
+//! Contacts: which sidecar incarnations an entry incarnation may have sent work to.
+//!
+//! An entry records a sidecar incarnation before it sends the first request there, and a later one
+//! of the same target only when nothing is open with the earlier one. A reclaim seals the record;
+//! from then on it is complete, and it names whose evidence is needed.
+
+use std::{collections::BTreeMap, fmt};
+
+use cyc_platform::{Error as PlatformError, Expect, Kind, Object, ObjectKey, Platform};
+use cyc_types::{Incarnation, TargetId};
+use serde::{Deserialize, Serialize};
+
+/// The record of one entry incarnation.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Contacts {
+    /// By target, the sidecar incarnation that may have been sent work. Invariant: nothing is
+    /// open with an earlier one.
+    pub sidecars: BTreeMap<TargetId, Incarnation>,
+    /// True once a reclaim has sealed the record. It never changes afterwards.
+    pub sealed: bool,
+}
+
+/// Why a record could not be written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// The platform gave no result; the write may have taken effect.
+    Platform(PlatformError),
+    /// The record is sealed: the entry incarnation is fenced.
+    Sealed,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform(error) => error.fmt(f),
+            Self::Sealed => f.write_str("the contacts are sealed: the incarnation is fenced"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<PlatformError> for Error {
+    fn from(error: PlatformError) -> Self {
+        Self::Platform(error)
+    }
+}
+
+/// Names the record of an entry incarnation.
+pub fn key(entry: &Incarnation) -> ObjectKey {
+    ObjectKey::new(
+        Kind::Member,
+        format!("contacts.{}.{}", entry.vm, entry.number),
+    )
+}
+
+/// Writes the contacts of an entry.
+///
+/// # Errors
+/// [`Error::Sealed`] if the entry is fenced; other errors may be tried again.
+pub async fn record(
+    platform: &dyn Platform,
+    entry: &Incarnation,
+    sidecars: &BTreeMap<TargetId, Incarnation>,
+) -> Result<(), Error> {
+    let (old, expect) = read(platform, entry).await?;
+    if old.sealed {
+        return Err(Error::Sealed);
+    }
+    let contacts = Contacts {
+        sidecars: sidecars.clone(),
+        sealed: false,
+    };
+    write(platform, entry, &contacts, expect).await
+}
+
+/// Seals the contacts of an entry and returns them. Safe to repeat.
+///
+/// # Errors
+/// If the platform gives no result, or with a conflict if another write came first.
+pub async fn seal(platform: &dyn Platform, entry: &Incarnation) -> Result<Contacts, Error> {
+    let (mut contacts, expect) = read(platform, entry).await?;
+    if !contacts.sealed {
+        contacts.sealed = true;
+        write(platform, entry, &contacts, expect).await?;
+    }
+    Ok(contacts)
+}
+
+async fn read(
+    platform: &dyn Platform,
+    entry: &Incarnation,
+) -> Result<(Contacts, Expect), PlatformError> {
+    match platform.get(&key(entry)).await? {
+        None => Ok((Contacts::default(), Expect::Absent)),
+        Some(Object { body, version, .. }) => {
+            let contacts = serde_json::from_slice(&body)
+                .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+            Ok((contacts, Expect::Version(version)))
+        }
+    }
+}
+
+async fn write(
+    platform: &dyn Platform,
+    entry: &Incarnation,
+    contacts: &Contacts,
+    expect: Expect,
+) -> Result<(), Error> {
+    let body = serde_json::to_vec(contacts)
+        .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+    platform.put(&key(entry), body.into(), expect).await?;
+    Ok(())
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,9 +4,11 @@
 //! starts share an [`Incarnation`].
 
 pub mod backoff;
+pub mod contacts;
 pub mod fence;
 pub mod registry;
 
 pub use backoff::Backoff;
+pub use contacts::Contacts;
 pub use fence::Fences;
 pub use registry::{Entry, Error, Member, Role, find, list, register};
