Stops under load with real processes; leaving VMs are told at once

Cause: no test stopped real processes under load. An entry whose own VM leaves stayed ready, and a sidecar learned of its leaving VM only with the next regular heartbeat. Ruled out: waiting for the balancer alone; a caller that keeps its connection would send its next request on a connection that is being closed. Change: answers of a draining entry close their connection, and the port stays open for a moment after the last answer. Heartbeats go out at once when a VM leaves or a configuration comes. An entry on a leaving VM is not ready. Status of a deployment as a library.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod document;
 mod flags;
 pub mod output;
+pub mod status;
 
 use std::ffi::OsString;
 
--- a/crates/entry/src/api/server.rs
+++ b/crates/entry/src/api/server.rs
@@ -39,6 +39,8 @@
 async fn ready(State(app): State<Arc<App>>) -> Response {
     let why = if app.is_draining() {
         "draining\n"
+    } else if app.is_leaving() {
+        "leaving\n"
     } else if app.config.current().is_none() {
         "no configuration\n"
     } else {
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -15,7 +15,7 @@
 use cyc_types::{
     AvailabilityZone, ByteSize, Clock, ErrorKind, Incarnation, Millis, Refusal, TargetId,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     books::Books,
@@ -90,6 +90,10 @@
     attempts: AtomicU64,
     in_flight: AtomicU64,
     draining: AtomicBool,
+    /// True while the VM list says that the VM of this entry is leaving.
+    leaving: AtomicBool,
+    /// Notified when sidecars have something to learn before the next heartbeat.
+    pub news: Notify,
     /// True once this incarnation was refused as fenced.
     fenced: watch::Sender<bool>,
 }
@@ -112,6 +116,8 @@
             attempts: AtomicU64::new(0),
             in_flight: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            news: Notify::new(),
             fenced: watch::Sender::new(false),
         }
     }
@@ -181,6 +187,19 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Notes what the VM list says of the VM of this entry.
+    pub fn set_leaving(&self, leaving: bool) {
+        if self.leaving.swap(leaving, Ordering::SeqCst) != leaving {
+            spdlog::info!("own_vm", kv: { leaving });
+        }
+    }
+
+    /// Returns true while the VM of this entry is leaving: the balancer should send no new
+    /// requests, but those that come are still served.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
     /// Notes that this incarnation is fenced: it stops, so that a new one starts with nothing.
     pub fn on_fenced(&self) {
         self.drain();
--- a/crates/entry/src/control/follow.rs
+++ b/crates/entry/src/control/follow.rs
@@ -38,7 +38,7 @@
                 backoff.reset();
             }
             Err(error) => {
-                spdlog::warn!("event=config_not_read error=\"{error}\"");
+                spdlog::warn!("config_not_read", kv: { error:? = error.to_string() });
                 ask_peers(&app, &peers).await;
                 backoff.wait().await;
             }
@@ -98,6 +98,7 @@
     let places = places.collect();
     if app.config.apply(snapshot) {
         app.fleet.set(places);
-        spdlog::info!("event=config_in_force revision={revision}");
+        app.news.notify_one();
+        spdlog::info!("config_in_force", kv: { revision:? = revision.to_string() });
     }
 }
--- a/crates/entry/src/control/heartbeat.rs
+++ b/crates/entry/src/control/heartbeat.rs
@@ -25,7 +25,10 @@
     let mut interval = tokio::time::interval(HEARTBEAT_INTERVAL.duration());
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = app.news.notified() => {}
+        }
         let beats = app
             .fleet
             .all()
--- a/crates/entry/src/control/vms.rs
+++ b/crates/entry/src/control/vms.rs
@@ -28,11 +28,17 @@
 
 /// A VM that is not in the list may be new: only heartbeats tell whether its target works.
 fn apply(app: &App, states: &HashMap<VmId, VmState>) {
+    let is_leaving = |vm: &VmId| states.get(vm) == Some(&VmState::Leaving);
+    app.set_leaving(is_leaving(&app.me.vm));
     let Some(config) = app.config.current() else {
         return;
     };
     for target in &config.services.targets {
-        let leaving = states.get(&target.vm) == Some(&VmState::Leaving);
+        let leaving = is_leaving(&target.vm);
+        let before = app.fleet.get(&target.id).is_some_and(|s| s.is_leaving());
         app.fleet.set_leaving(&target.id, leaving);
+        if leaving && !before {
+            app.news.notify_one();
+        }
     }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -28,6 +28,9 @@
 const DRAIN_POLL: Millis = Millis::new(20);
 /// Time for the balancer to see that this entry is not ready, before the port closes.
 const BALANCER_NOTICE: Millis = Millis::new(200);
+/// Time after the last answer in which a caller that uses its connection again is still refused
+/// with an answer.
+const CONNECTION_NOTICE: Millis = Millis::new(100);
 
 /// Why the process ended.
 #[derive(Debug)]
@@ -95,7 +98,7 @@
 
     println!("listening on {}", caller_listener.local_addr()?);
     let (stop, stopped) = watch::channel(false);
-    let router = api::server::router(app.clone());
+    let router = listen::close_while_draining(api::server::router(app.clone()), app.clone());
     let connections = settings.limits.max_connections;
     let serving = tokio::spawn(listen::run(caller_listener, router, connections, stopped));
     let mut fenced = app.fenced();
@@ -199,6 +202,7 @@
     while app.in_flight() > 0 && app.clock.now() < until {
         tokio::time::sleep(DRAIN_POLL.duration()).await;
     }
+    tokio::time::sleep(CONNECTION_NOTICE.duration()).await;
     stop.send_replace(true);
     let left = || until.saturating_sub(app.clock.now()).max(Millis::SECOND);
     let ledger = app.ledger.close(left()).await;
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -2,7 +2,13 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use axum::Router;
+use axum::{
+    Router,
+    extract::{Request, State},
+    middleware::{self, Next},
+    response::Response,
+};
+use http::{HeaderValue, Version, header::CONNECTION};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -13,6 +19,8 @@
     sync::{Semaphore, watch},
 };
 
+use crate::app::App;
+
 /// How long a caller may take to send the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// The most headers of a request.
@@ -71,6 +79,22 @@
     Ok(())
 }
 
+/// Asks callers to close their connections while `app` is draining, so that none sends its next
+/// request on a connection that is about to be closed.
+pub fn close_while_draining(router: Router, app: Arc<App>) -> Router {
+    router.layer(middleware::from_fn_with_state(app, close_connection))
+}
+
+async fn close_connection(State(app): State<Arc<App>>, req: Request, next: Next) -> Response {
+    let is_http1 = req.version() <= Version::HTTP_11;
+    let mut answer = next.run(req).await;
+    if is_http1 && app.is_draining() {
+        let headers = answer.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
 /// Answers are streams of small pieces, which must not wait for each other.
 fn set_nodelay(stream: &TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
--- a/crates/quickstart/src/deploy.rs
+++ b/crates/quickstart/src/deploy.rs
@@ -10,9 +10,12 @@
 };
 
 use cyc_budget::{Payment, SHARDS, top_up};
+use cyc_cli::status::{self, EntryRow, Status};
 use cyc_config::{Document, Revised as _, store};
 use cyc_ledger::report;
+use cyc_member::Member;
 use cyc_platform::HttpPlatform;
+use cyc_proto::{ProcessKey, peer::EntryStatus};
 use cyc_standin::{
     client::Client,
     process::{Process, Signal},
@@ -355,6 +358,70 @@
     }
 }
 
+/// # Stop of one process
+impl Deployment {
+    /// Stops an entry gracefully and waits for its end.
+    ///
+    /// # Errors
+    /// If it does not run or fails.
+    pub async fn stop_entry(&mut self, index: usize) -> Result<(), Error> {
+        let process = self.entries[index].process.take();
+        stop_all(vec![process.ok_or(Error::Condition("the entry runs"))?]).await
+    }
+
+    /// Stops the sidecar of a target gracefully and waits for its end.
+    ///
+    /// # Errors
+    /// If it does not run or fails.
+    pub async fn stop_sidecar(&mut self, index: usize) -> Result<(), Error> {
+        let process = self.targets[index].sidecar.take();
+        stop_all(vec![process.ok_or(Error::Condition("the sidecar runs"))?]).await
+    }
+
+    /// Waits until every registered entry and sidecar answers with its last registration, takes
+    /// new work and has the accepted configuration in force.
+    ///
+    /// # Errors
+    /// [`Error::Condition`] if that does not come about.
+    pub async fn wait_settled(&self) -> Result<(), Error> {
+        wait_until("every process is in service", || async {
+            self.status().await.is_ok_and(|status| {
+                let draining = status.sidecars.iter().any(|row| row.draining);
+                let at_once = |row: &EntryRow| {
+                    row.status.as_ref().is_some_and(|entry| {
+                        let current = entry.entry == row.member.incarnation();
+                        current && !entry.draining && sees_all(entry, &status)
+                    })
+                };
+                !draining && status.entries.iter().all(at_once)
+            })
+        })
+        .await
+    }
+
+    /// Reads the state of the deployment as `cyclamen status` does.
+    ///
+    /// # Errors
+    /// If the platform gives no answer.
+    pub async fn status(&self) -> Result<Status, Error> {
+        status::collect(&self.platform_client(), &ProcessKey::new(PROCESS_KEY))
+            .await
+            .map_err(|error| Error::Refused(error.to_string()))
+    }
+}
+
+/// Returns true if an entry reaches every registered sidecar, with the accepted configuration.
+fn sees_all(entry: &EntryStatus, status: &Status) -> bool {
+    let reached = |member: &Member| {
+        entry.sidecars.iter().any(|seen| {
+            let current = seen.sidecar.as_ref() == Some(&member.incarnation());
+            current && seen.reachable && !seen.draining && seen.revision >= status.accepted
+        })
+    };
+    let sidecars = status.sidecars.iter().all(|row| reached(&row.member));
+    entry.revision >= status.accepted && sidecars
+}
+
 async fn stop_all(processes: Vec<Process>) -> Result<(), Error> {
     for process in &processes {
         process.signal(Signal::Term)?;
--- a/crates/quickstart/src/lib.rs
+++ b/crates/quickstart/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod deploy;
 pub mod layout;
+pub mod load;
 
 pub use caller::{Caller, Reply};
 pub use deploy::{Deployment, Error};
