cli: spend and burn

Cause: operators could not read the spend report or the service levels without writing a program. Ruled out: asking entries: they may be gone, and the platform holds all of it. Without a platform both exit with 3 and name the address. The document of the quick start has objectives, with a latency that no slow machine misses. Before and after: end to end, with refusals after the filter chain left out of the report, the test finds no such refusal; with refusals for reasons of the caller counted, it finds 2 drafts in place of 1. With the month filter, the exit code, the plot or the window broken, all 5 new tests of the command fail. Unbroken all pass. Conclusion: the reports need the platform alone.

--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use cyc_types::Revision;
+use cyc_ledger::month::Month;
+use cyc_types::{ClientAccountId, Revision};
+
+use crate::burn::Window;
 
 xflags::xflags! {
     /// Checks and submits the configuration of cyclamenlead.
@@ -13,6 +16,8 @@
     ///   cyclamen check etc/dala/entry.ini etc/dala/document.json
     ///   cyclamen submit etc/dala/document.json --platform 10.20.9.1:9000 --expect 4
     ///   cyclamen --json show --platform 10.20.9.1:9000
+    ///   cyclamen spend --platform 10.20.9.1:9000 --account league --month 2026-12
+    ///   cyclamen burn --platform 10.20.9.1:9000 --window 6h --plot burn.svg
     cmd cyclamen {
         /// Prints results as JSON.
         optional --json
@@ -33,6 +38,26 @@
             optional --expect revision: Revision
         }
 
+        /// Prints what each account paid, what was billed and what was refused.
+        cmd spend {
+            /// The platform's IP number and port.
+            required --platform addr: SocketAddr
+            /// Only this client account.
+            optional --account account: ClientAccountId
+            /// Only this month, in UTC. The balance is always that of now.
+            optional --month month: Month
+        }
+
+        /// Prints service levels, error budgets and burn rates.
+        cmd burn {
+            /// The platform's IP number and port.
+            required --platform addr: SocketAddr
+            /// The window of totals and error budgets, as in 30m, 6h, 7d; else the objectives'.
+            optional --window window: Window
+            /// Writes the burn rates over time to this file, as SVG.
+            optional --plot file: PathBuf
+        }
+
         /// Prints the document in force.
         cmd show {
             /// The platform's IP number and port.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,10 +3,12 @@
 //! Results go to standard output, errors to standard error; the exit code says which kind of
 //! error it was ([`Exit`]).
 
+pub mod burn;
 pub mod check;
 pub mod document;
 mod flags;
 pub mod output;
+pub mod spend;
 pub mod status;
 
 use std::ffi::OsString;
@@ -26,6 +28,16 @@
         CyclamenCmd::Submit(submit) => {
             document::submit(&submit.document, submit.platform, submit.expect, flags.json).await
         }
+        CyclamenCmd::Spend(flag) => {
+            let options = spend::Options {
+                account: flag.account,
+                month: flag.month,
+            };
+            spend::spend(flag.platform, &options, flags.json).await
+        }
+        CyclamenCmd::Burn(flag) => {
+            burn::burn(flag.platform, flag.window, flag.plot, flags.json).await
+        }
         CyclamenCmd::Show(show) => document::show(show.platform, flags.json).await,
     }
 }
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -1,5 +1,8 @@
 //! Tests of the command against the stand-in of the platform.
 
+#[path = "cli/reports.rs"]
+mod reports;
+
 use std::{net::SocketAddr, path::Path};
 
 use cyc_cli::{Exit, Output, run};
--- a/crates/ledger/src/month.rs
+++ b/crates/ledger/src/month.rs
@@ -1,8 +1,8 @@
 //! Calendar months of the reports, in UTC.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
-use cyc_types::Millis;
+use cyc_types::{Millis, size::ParseValueError};
 use serde::{Serialize, Serializer};
 
 const MILLIS_PER_DAY: u64 = 86_400_000;
@@ -42,6 +42,27 @@
     }
 }
 
+impl FromStr for Month {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let read = || {
+            let (year, month) = text.split_once('-')?;
+            let is_number = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
+            let whole = year.len() == 4 && month.len() == 2 && is_number(year) && is_number(month);
+            let month = Self {
+                year: year.parse().ok()?,
+                month: month.parse().ok()?,
+            };
+            (whole && (1..=12).contains(&month.month)).then_some(month)
+        };
+        read().ok_or_else(|| ParseValueError {
+            wanted: "a month as in 2026-12",
+            given: text.into(),
+        })
+    }
+}
+
 impl Serialize for Month {
     fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
         to.collect_str(self)
--- a/crates/quickstart/src/layout.rs
+++ b/crates/quickstart/src/layout.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 
 use cyc_config::{
-    Account, ApiKey, Builder, Document, EngineState, Problem, Route, Service, Slots, Target,
+    Account, ApiKey, Builder, Document, EngineState, Objective, Problem, Route, Service, Slots,
+    Target,
 };
 use cyc_proto::sidecar::RouteClass;
-use cyc_types::{Tokens, size::ParseValueError};
+use cyc_types::{Millis, Tokens, size::ParseValueError};
+use strum::IntoEnumIterator as _;
 
 /// The key that the processes share.
 pub const PROCESS_KEY: &str = "quickstart-process-key";
@@ -20,6 +22,12 @@
 pub const BOOKING_PRICE: Tokens = Tokens::new(100);
 /// The price of a status check.
 pub const STATUS_PRICE: Tokens = Tokens::new(1);
+/// Latency of all objectives: a slow machine does not miss it.
+pub const OBJECTIVE_LATENCY: Millis = Millis::new(60_000);
+/// Share of requests within the latency.
+pub const OBJECTIVE_SHARE: f64 = 0.9;
+/// Window of all objectives.
+pub const OBJECTIVE_WINDOW: Millis = Millis::new(24 * 3_600_000);
 
 /// The kinds of targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -185,5 +193,13 @@
             .with_key(ApiKey::new(&api_key(name), name.parse()?));
         builder = builder.with_account(account);
     }
+    for class in RouteClass::iter() {
+        builder = builder.with_objective(Objective {
+            class,
+            latency_ms: OBJECTIVE_LATENCY,
+            share: OBJECTIVE_SHARE,
+            window_ms: OBJECTIVE_WINDOW,
+        });
+    }
     builder.build().map_err(DocumentError::Invalid)
 }
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -140,7 +140,10 @@
 }
 
 /// Finds a program of the workspace beside the folder of the running test.
-fn program_path(program: &str) -> io::Result<PathBuf> {
+///
+/// # Errors
+/// If the program is not there.
+pub fn program_path(program: &str) -> io::Result<PathBuf> {
     let exe = std::env::current_exe()?;
     // Test executables lie in a folder below that of the programs.
     let folders = exe.ancestors().skip(1).take(2);
