Run reclaim and merge in the entry

Cause: grants of dead entries stayed held and duplicates stayed billed, because nothing ran the ledger's controllers. Fences had two types over one object. Ruled out: trusting every VM list for absence; a list without the reclaimer's own VM would fence all entries of a deployment whose list is empty. The absence is the setting vm_absence_ms. A fenced ledger closes at once.

--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -1,7 +1,10 @@
 //! The controllers: tasks that each keep one part of the state in step with the rest of the
 //! system.
 
+pub mod duty;
 pub mod follow;
 pub mod heartbeat;
+pub mod merge;
+pub mod reclaim;
 pub mod release;
 pub mod vms;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -90,6 +90,14 @@
     let server = serve(peer_listener, &key, Rpc::new(app.clone()).into_rpc())?;
     tokio::spawn(control::heartbeat::run(app.clone()));
     tokio::spawn(control::vms::run(app.clone(), platform.clone()));
+    let absence = settings.ledger.vm_absence;
+    tokio::spawn(control::reclaim::run(
+        app.clone(),
+        platform.clone(),
+        absence,
+    ));
+    let window = settings.ledger.retry_window;
+    tokio::spawn(control::merge::run(app.clone(), platform.clone(), window));
     let seeds = settings.peers.seeds.clone();
     tokio::spawn(control::follow::run(app.clone(), platform, seeds, key));
 
--- a/crates/ledger/src/evidence.rs
+++ b/crates/ledger/src/evidence.rs
@@ -64,8 +64,9 @@
     pub ops: Vec<Op>,
     /// Grants that stay held.
     pub unresolved: Vec<Unresolved>,
-    /// Requests whose receipts the sidecars may drop when all operations are done.
-    pub released: Vec<RequestId>,
+    /// Receipts that the sidecars may drop when all operations are done, by the entry that started
+    /// the run.
+    pub released: Vec<(Incarnation, RequestId)>,
 }
 
 /// Returns whether an incarnation is below the fence.
@@ -100,7 +101,7 @@
     plan.segments = missing_segments(lowest, evidence, &fenced, at);
     plan.released = receipts(evidence)
         .filter(|receipt| is_below(lowest, &receipt.entry))
-        .map(|receipt| receipt.request)
+        .map(|receipt| (receipt.entry.clone(), receipt.request))
         .collect();
     let mut spent: BTreeMap<GrantId, Tokens> = BTreeMap::new();
     for segment in fenced.into_iter().chain(&plan.segments) {
--- a/crates/ledger/src/flush.rs
+++ b/crates/ledger/src/flush.rs
@@ -158,7 +158,14 @@
     /// `wait`.
     pub async fn close(&self, wait: Millis) -> Status {
         let (tx, rx) = oneshot::channel();
-        self.shared.lock().closing = Some(tx);
+        {
+            let mut state = self.shared.lock();
+            // A fenced controller has ended and writes no more.
+            if state.status.fenced {
+                return state.status.clone();
+            }
+            state.closing = Some(tx);
+        }
         self.shared.wake.notify_one();
         // What is left after the wait shows in the status.
         tokio::time::timeout(wait.duration(), rx).await.ok();
@@ -224,7 +231,11 @@
             }
             let closing = self.shared.lock().closing.take();
             if self.flush_all().await.is_err() {
-                self.shared.lock().status.fenced = true;
+                {
+                    let mut state = self.shared.lock();
+                    state.status.fenced = true;
+                    state.closing = None;
+                }
                 self.purse.fenced();
                 return;
             }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -13,6 +13,6 @@
 pub use evidence::{Evidence, Reason, Unresolved};
 pub use flush::{Billed, Flusher, Ledger};
 pub use merge::{MergeRecord, merge};
-pub use reclaim::{Fences, Reclaimer, Sidecars};
+pub use reclaim::{Reclaimer, Sidecars};
 pub use report::{Report, report};
 pub use segment::{RefusalCount, Segment};
--- a/crates/ledger/src/read.rs
+++ b/crates/ledger/src/read.rs
@@ -49,6 +49,13 @@
     last.is_some_and(|last| *last >= segment.sequence)
 }
 
+pub(crate) fn member_error(error: cyc_member::Error) -> Error {
+    match error {
+        cyc_member::Error::Platform(error) => error,
+        error @ cyc_member::Error::Malformed { .. } => malformed(error),
+    }
+}
+
 pub(crate) fn malformed(error: impl std::fmt::Display) -> Error {
     Error::Malformed(error.to_string())
 }
--- a/crates/ledger/src/reclaim.rs
+++ b/crates/ledger/src/reclaim.rs
@@ -11,10 +11,11 @@
 
 use async_trait::async_trait;
 use cyc_budget::{Applied, Op, OpError, Purse};
-use cyc_platform::{Body, Error, Expect, Kind, ObjectKey, Platform, Result};
+use cyc_member::fence;
+use cyc_platform::{Error, Expect, Kind, Platform, Result};
 use cyc_proto::{GrantId, LinkError, sidecar::FenceReply};
 use cyc_types::{Clock, Incarnation, Millis, RequestId, TargetId, Tokens, VmId};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 
 use crate::{
     evidence::{Evidence, Plan, Reason, Unresolved, plan},
@@ -25,20 +26,33 @@
 /// The sidecars of the configuration, as the process reaches them.
 #[async_trait]
 pub trait Sidecars: Send + Sync + 'static {
-    /// Fences all incarnations below `lowest` at every sidecar of the configuration whose VM is
-    /// in the VM list, and returns one answer for each.
+    /// Fences all incarnations below `lowest` at every sidecar of the configuration, whatever the
+    /// VM list says of its VM, and returns one answer for each. The configuration has to be read
+    /// after this call begins, so that no sidecar is left out.
     async fn fence(&self, lowest: &Incarnation) -> Vec<(TargetId, Result<FenceReply, LinkError>)>;
 }
 
-/// A VM counts as gone when the VM list has not named it for this long, because the list lags and
-/// a VM that has just started is not in it yet.
+/// The default of [`Options::absence`].
 const ABSENCE: Millis = Millis::new(30_000);
 
-/// The fences: by VM, the lowest incarnation that may still spend. A number only grows.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Fences {
-    /// The fences.
-    pub lowest: BTreeMap<VmId, u64>,
+/// The settings of the controller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// A VM counts as gone when the VM list has not named it for this long, because the list lags
+    /// and a VM that has just started is not in it yet.
+    pub absence: Millis,
+    /// Only a VM list that names this VM, on which the process runs, tells that others are gone:
+    /// a list without it is empty, wrong or too old. `None` trusts every list.
+    pub own_vm: Option<VmId>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            absence: ABSENCE,
+            own_vm: None,
+        }
+    }
 }
 
 /// What a round of reclaim did.
@@ -48,8 +62,8 @@
     pub reclaimed: Vec<(GrantId, Tokens)>,
     /// The grants that stay held.
     pub unresolved: Vec<Unresolved>,
-    /// Requests whose receipts the sidecars may drop.
-    pub released: Vec<RequestId>,
+    /// Receipts that the sidecars may drop, by the entry that started the run.
+    pub released: Vec<(Incarnation, RequestId)>,
 }
 
 /// The part of a member object that tells which incarnation is the last.
@@ -59,17 +73,13 @@
     number: u64,
 }
 
-/// Returns the name of the object with the fences.
-pub fn fences_key() -> ObjectKey {
-    ObjectKey::new(Kind::Fence, "all")
-}
-
 /// The controller.
 pub struct Reclaimer {
     platform: Arc<dyn Platform>,
     purse: Purse,
     sidecars: Arc<dyn Sidecars>,
     clock: Clock,
+    options: Options,
     /// Fences below which nothing is left to do.
     finished: BTreeSet<Incarnation>,
     /// Since when the VM list does not name a VM, by the clock of this process.
@@ -89,11 +99,18 @@
             purse,
             sidecars,
             clock,
+            options: Options::default(),
             finished: BTreeSet::new(),
             absent: BTreeMap::new(),
         }
     }
 
+    /// Sets the settings.
+    pub fn with_options(mut self, options: Options) -> Self {
+        self.options = options;
+        self
+    }
+
     /// Reclaims what can be reclaimed now. Safe to run at several entries at once, and to stop at
     /// any step.
     ///
@@ -106,7 +123,9 @@
             if self.finished.contains(&lowest) {
                 continue;
             }
-            raise_fence(&*self.platform, &lowest).await?;
+            fence::raise(&*self.platform, &lowest)
+                .await
+                .map_err(read::member_error)?;
             let evidence = self.ask(&lowest).await;
             let complete = evidence.silent.is_empty();
             let running = evidence.replies.iter().any(|r| !r.running.is_empty());
@@ -124,16 +143,19 @@
     async fn gone(&mut self) -> Result<Vec<Incarnation>> {
         let vms = self.platform.vms().await?;
         let listed: BTreeSet<&VmId> = vms.iter().map(|vm| &vm.id).collect();
-        self.absent.retain(|vm, _| !listed.contains(vm));
+        let own_vm = self.options.own_vm.as_ref();
+        let is_trusted = own_vm.is_none_or(|own| listed.contains(own));
+        self.absent
+            .retain(|vm, _| is_trusted && !listed.contains(vm));
         let mut lowest: BTreeMap<VmId, u64> = BTreeMap::new();
         for object in self.platform.list(Kind::Member, "entry.").await? {
             let member: Member = serde_json::from_slice(&object.body).map_err(malformed)?;
-            let is_gone = !listed.contains(&member.vm) && self.is_absent(&member.vm);
+            let is_gone = is_trusted && !listed.contains(&member.vm) && self.is_absent(&member.vm);
             lowest.insert(member.vm, member.number + u64::from(is_gone));
         }
         for record in read::records(&*self.platform).await?.values() {
             for holder in record.grants.keys().filter(|h| !listed.contains(&h.vm)) {
-                if self.is_absent(&holder.vm) {
+                if is_trusted && self.is_absent(&holder.vm) {
                     let number = lowest.entry(holder.vm.clone()).or_default();
                     *number = (holder.number + 1).max(*number);
                 }
@@ -145,11 +167,11 @@
             .collect())
     }
 
-    /// Notes that the VM list does not name a VM; true if it has not for [`ABSENCE`].
+    /// Notes that the VM list does not name a VM; true if it has not for [`Options::absence`].
     fn is_absent(&mut self, vm: &VmId) -> bool {
         let now = self.clock.now();
         let since = *self.absent.entry(vm.clone()).or_insert(now);
-        now.saturating_sub(since) >= ABSENCE
+        now.saturating_sub(since) >= self.options.absence
     }
 
     async fn ask(&self, lowest: &Incarnation) -> Evidence {
@@ -216,24 +238,3 @@
     platform.put(&segment.key(), body, Expect::Absent).await?;
     Ok(())
 }
-
-/// Raises the fence of a VM; one that is as high already stays.
-///
-/// # Errors
-/// If the platform does not answer, or with [`Error::Conflict`] if another process was faster.
-pub async fn raise_fence(platform: &dyn Platform, lowest: &Incarnation) -> Result<()> {
-    let object = platform.get(&fences_key()).await?;
-    let mut fences = match &object {
-        Some(object) => serde_json::from_slice(&object.body).map_err(malformed)?,
-        None => Fences::default(),
-    };
-    let number = fences.lowest.entry(lowest.vm.clone()).or_default();
-    if *number >= lowest.number {
-        return Ok(());
-    }
-    *number = lowest.number;
-    let body = Body::from(serde_json::to_vec(&fences).map_err(malformed)?);
-    let expect = object.map_or(Expect::Absent, |object| Expect::Version(object.version));
-    platform.put(&fences_key(), body, expect).await?;
-    Ok(())
-}
--- a/crates/ledger/src/report.rs
+++ b/crates/ledger/src/report.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, fmt};
 
 use cyc_budget::{Record, TopUp};
+use cyc_member::{Fences, fence};
 use cyc_platform::{Platform, Result};
 use cyc_types::{BudgetId, ClientAccountId, ErrorKind, Incarnation, Tokens};
 use serde::Serialize;
@@ -11,7 +12,6 @@
     merge::{self, MergeRecord},
     month::Month,
     read,
-    reclaim::{self, Fences},
     segment::Segment,
 };
 
@@ -115,7 +115,7 @@
         let chain = merge::chain(platform).await?;
         let again = read::records(platform).await?;
         if again == records {
-            let fences = read_fences(platform).await?;
+            let fences = fence::read(platform).await.map_err(read::member_error)?;
             return Ok(Objects {
                 records,
                 segments,
@@ -127,13 +127,6 @@
     }
 }
 
-async fn read_fences(platform: &dyn Platform) -> Result<Fences> {
-    match platform.get(&reclaim::fences_key()).await? {
-        Some(object) => serde_json::from_slice(&object.body).map_err(read::malformed),
-        None => Ok(Fences::default()),
-    }
-}
-
 /// Makes the report.
 pub fn report(objects: &Objects) -> Report {
     let mut report = Report::default();
--- a/crates/ledger/tests/ledger/merge.rs
+++ b/crates/ledger/tests/ledger/merge.rs
@@ -159,7 +159,7 @@
     expect_that!(balance.credited, eq(Tokens::ZERO));
     merge(&*fake, &purse, WINDOW).await?;
     let fence = Incarnation::new(entry(1).vm, 2);
-    cyc_ledger::reclaim::raise_fence(&*fake, &fence).await?;
+    cyc_member::fence::raise(&*fake, &fence).await?;
     let report = report(&report::collect(&*fake).await?);
     let account = &report.accounts[&"dala".parse()?];
     let balance = &account.balance;
--- a/crates/quickstart/src/deploy.rs
+++ b/crates/quickstart/src/deploy.rs
@@ -19,6 +19,8 @@
     relay::TcpRelay,
 };
 use cyc_types::{Clock, Millis, Revision, Tokens};
+use http::Method;
+use serde_json::json;
 
 use crate::{
     caller::Caller,
@@ -158,6 +160,8 @@
         for number in 0..deployment.layout.entries {
             deployment.add_entry(number).await?;
         }
+        let all: Vec<usize> = (0..deployment.entries.len()).collect();
+        deployment.set_vms(&all).await?;
         deployment.wait_ready().await?;
         Ok(deployment)
     }
@@ -374,6 +378,24 @@
 
 /// # Operators and callers
 impl Deployment {
+    /// Sets the platform's VM list: the VMs of all targets and of these entries.
+    ///
+    /// # Errors
+    /// If the stand-in gives no answer.
+    pub async fn set_vms(&self, entries: &[usize]) -> Result<(), Error> {
+        let vm = |name: String, number| {
+            let zone = layout::zone(number);
+            json!({ "id": format!("vm-{name}"), "zone": zone, "ip": "127.0.0.1", "state": "live" })
+        };
+        let targets = self.targets.iter();
+        let targets = targets.map(|slot| vm(target_name(slot.kind, slot.number), slot.number));
+        let entries = entries.iter().map(|n| vm(format!("entry-{n}"), *n));
+        let vms: Vec<_> = targets.chain(entries).collect();
+        let admin = self.platform_admin();
+        admin.send_json(Method::PUT, "/admin/vms", &vms).await?;
+        Ok(())
+    }
+
     /// Returns a client of the platform that no relay stands before.
     pub fn platform_client(&self) -> HttpPlatform {
         HttpPlatform::new(self.platform.addr()).with_timeout(Millis::new(5_000))
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -67,6 +67,9 @@
     pub flush: Millis,
     /// `retry_window_ms`: how long a retry may come after the first attempt; default 900 000.
     pub retry_window: Millis,
+    /// `vm_absence_ms`: how long the VM list leaves out a VM before the grants of its entry are
+    /// reclaimed; default 30 000.
+    pub vm_absence: Millis,
 }
 
 /// The settings of an entry.
@@ -132,6 +135,7 @@
             ledger: Ledger {
                 flush: values.get("ledger", "flush_ms")?,
                 retry_window: values.get("ledger", "retry_window_ms")?,
+                vm_absence: values.get("ledger", "vm_absence_ms")?,
             },
         })
     }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -203,6 +203,7 @@
     row(ENTRY, ("limits", "max_deadline_ms"), LONG_MS, Default("900000"), "The longest deadline that a request may name."),
     row(ENTRY, ("ledger", "flush_ms"), WAIT_MS, Default("1000"), "Time between flushes of receipts."),
     row(ENTRY, ("ledger", "retry_window_ms"), LONG_MS, Default("900000"), "How long a retry may come after the first attempt."),
+    row(ENTRY, ("ledger", "vm_absence_ms"), WAIT_MS, Default("30000"), "How long the VM list leaves out a VM before its entry's grants are reclaimed."),
     row(SIDECAR, ("target", "addr"), Allowed::Addr, Required, "The target's HTTP address."),
     row(SIDECAR, ("target", "kind"), Allowed::OneOf(&["engine", "service"]), Required, "What the target is."),
     row(SIDECAR, ("target", "checks_fencing"), Allowed::OneOf(&["true", "false"]), Default("false"), "Whether the target refuses orders with an old fencing number."),
