--- a/crates/quickstart/src/layout.rs
+++ b/crates/quickstart/src/layout.rs
@@ -102,7 +102,7 @@
     format!("almaty-{}", ["a", "b", "c"][n % 3])
 }
 
-/// Writes settings: each line under its section.
+/// Writes settings: each line under its section. A later line of a key replaces an earlier one.
 pub fn settings_text(lines: &[(&str, String)]) -> String {
     let mut sections: Vec<&str> = Vec::new();
     for (section, _) in lines {
@@ -113,13 +113,22 @@
     let mut text = String::new();
     for section in sections {
         text.push_str(&format!("[{section}]\n"));
-        for (_, line) in lines.iter().filter(|(name, _)| *name == section) {
-            text.push_str(&format!("{line}\n"));
+        let lines = lines.iter().filter(|(name, _)| *name == section);
+        let lines: Vec<&String> = lines.map(|(_, line)| line).collect();
+        for (n, line) in lines.iter().enumerate() {
+            let is_replaced = |later: &&String| key_of(later) == key_of(line);
+            if !lines[n + 1..].iter().any(is_replaced) {
+                text.push_str(&format!("{line}\n"));
+            }
         }
     }
     text
 }
 
+fn key_of(line: &str) -> &str {
+    line.split('=').next().unwrap_or(line).trim()
+}
+
 /// Why a document could not be written.
 #[derive(Debug)]
 pub enum DocumentError {
