Configuration under failure with real processes; slots of the document; no claim_buckets

Cause: an entry asked its peers only after an error of the platform, so a silent partition kept it at an old revision; sidecars ignored the slots of the document; the document had a field claim_buckets that nothing used and that must not change. Ruled out: a shorter watch, which costs calls and still does not help a process that starts. Change: peers are asked every second beside the watch. A sidecar uses the smaller of the slots in its settings and in the document (Pool::resize). The field claim_buckets is gone.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -24,7 +24,6 @@
 const PERCENT: RangeInclusive<u32> = 0..=100;
 const EJECT_FAILURES: RangeInclusive<u32> = 1..=1_000;
 const ATTEMPTS: RangeInclusive<u32> = 1..=10;
-const CLAIM_BUCKETS: RangeInclusive<u32> = 1..=1_024;
 const SLOTS: RangeInclusive<u32> = 0..=100_000;
 const SHARE: RangeInclusive<u32> = 1..=1_000;
 const EJECT_MS: RangeInclusive<u64> = 1..=3_600_000;
@@ -112,7 +111,6 @@
         ATTEMPTS,
     );
     out.millis(at("retry.backoff_ms"), service.retry.backoff_ms, BACKOFF_MS);
-    out.range(at("claim_buckets"), service.claim_buckets, CLAIM_BUCKETS);
     match (service.kind, &service.model, &service.adapter) {
         (ServiceKind::Engine, None, _) => out.add(at("model"), "missing", "the id of a model"),
         (ServiceKind::Plain, Some(model), _) => {
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -85,13 +85,6 @@
     }
 }
 
-/// The claim buckets of a service that names none.
-const DEFAULT_CLAIM_BUCKETS: u32 = 16;
-
-const fn default_claim_buckets() -> u32 {
-    DEFAULT_CLAIM_BUCKETS
-}
-
 /// A service that callers name.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -111,10 +104,6 @@
     /// Its retry rules.
     #[serde(default)]
     pub retry: Retry,
-    /// The claim objects of its non-idempotent requests. A change moves requests to other
-    /// buckets, so it is only safe while no such request may be retried.
-    #[serde(default = "default_claim_buckets")]
-    pub claim_buckets: u32,
 }
 
 impl Service {
@@ -127,7 +116,6 @@
             adapter: None,
             routes: Vec::new(),
             retry: Retry::default(),
-            claim_buckets: DEFAULT_CLAIM_BUCKETS,
         }
     }
 
@@ -159,12 +147,6 @@
         self
     }
 
-    /// Sets the number of claim buckets.
-    pub fn with_claim_buckets(mut self, buckets: u32) -> Self {
-        self.claim_buckets = buckets;
-        self
-    }
-
     /// Returns the model name that callers use: the adapter if there is one.
     pub fn chat_name(&self) -> Option<&ModelId> {
         self.adapter.as_ref().or(self.model.as_ref())
--- a/crates/entry/src/control/follow.rs
+++ b/crates/entry/src/control/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the accepted configuration in the platform, and at peers while the platform is out.
+//! Follows the accepted configuration in the platform and at peers.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -15,6 +15,10 @@
 
 /// How long one watch waits.
 const WATCH_WAIT: Millis = Millis::new(10_000);
+/// Time between two questions to the same peer.
+const PEER_INTERVAL: Millis = Millis::new(1_000);
+/// How long one peer is waited for.
+const PEER_TIMEOUT: Millis = Millis::new(2_000);
 /// Name of the head object.
 const HEAD: &str = "head";
 
@@ -29,23 +33,46 @@
         .into_iter()
         .map(|addr| Link::new(addr, key.clone()))
         .collect();
+    tokio::join!(
+        follow_platform(&app, platform.as_ref()),
+        follow_peers(&app, &peers)
+    );
+}
+
+async fn follow_platform(app: &App, platform: &dyn Platform) {
     let mut backoff = Backoff::new(Millis::new(100), Millis::new(2_000));
     let mut since = Version::ZERO;
     loop {
-        match follow_once(&app, platform.as_ref(), since).await {
+        match follow_once(app, platform, since).await {
             Ok(version) => {
                 since = version;
                 backoff.reset();
             }
             Err(error) => {
                 spdlog::warn!("config_not_read", kv: { error:? = error.to_string() });
-                ask_peers(&app, &peers).await;
                 backoff.wait().await;
             }
         }
     }
 }
 
+/// Asks the peers all the time: a platform that is cut off may leave a watch open that never
+/// answers, and a process that starts meanwhile has no configuration.
+async fn follow_peers(app: &App, peers: &[Link]) {
+    if peers.is_empty() {
+        return;
+    }
+    let mut interval = tokio::time::interval(PEER_INTERVAL.duration());
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let asked = peers
+            .iter()
+            .map(|peer| tokio::time::timeout(PEER_TIMEOUT.duration(), ask_peer(app, peer)));
+        futures::future::join_all(asked).await;
+    }
+}
+
 /// Reads the configuration and waits for the next change; returns the version to watch from.
 async fn follow_once(
     app: &App,
@@ -65,24 +92,20 @@
         .fold(since, Version::max))
 }
 
-async fn ask_peers(app: &App, peers: &[Link]) {
-    for peer in peers {
-        let Ok(client) = peer.client().await else {
-            continue;
-        };
-        let have = app.config.revision();
-        let Ok(Some(sent)) = client.config(ConfigRequest { have }).await else {
-            continue;
-        };
-        match Snapshot::from_peer(&sent) {
-            Ok(snapshot) => put_in_force(app, snapshot),
-            Err(error) => {
-                spdlog::warn!(
-                    "event=peer_config_bad peer={} error=\"{error}\"",
-                    peer.addr()
-                );
-            }
-        }
+async fn ask_peer(app: &App, peer: &Link) {
+    let Ok(client) = peer.client().await else {
+        return;
+    };
+    let have = app.config.revision();
+    let Ok(Some(sent)) = client.config(ConfigRequest { have }).await else {
+        return;
+    };
+    match Snapshot::from_peer(&sent) {
+        Ok(snapshot) => put_in_force(app, snapshot),
+        Err(error) => spdlog::warn!("peer_config_bad", kv: {
+            peer:? = peer.addr().to_string(),
+            error:? = error.to_string(),
+        }),
     }
 }
 
--- a/crates/quickstart/tests/e2e/config.rs
+++ b/crates/quickstart/tests/e2e/config.rs
@@ -1,1 +1,373 @@
 //! Configuration under failure: in force everywhere, never reverting.
+
+use std::{
+    net::SocketAddr,
+    pin::pin,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use cyc_cli::Exit;
+use cyc_config::{Document, Revised as _, SubmitError, store};
+use cyc_platform::Kind;
+use cyc_quickstart::{Deployment, Layout, deploy::wait_until};
+use cyc_standin::{
+    client::Client,
+    process::Signal,
+    relay::Direction,
+    store::{Faults, LostAnswers},
+};
+use cyc_types::{ErrorKind, Millis, Outcome, Revision};
+use googletest::prelude::*;
+use http::Method;
+use tokio::task::JoinHandle;
+
+/// Rounds of the race between two operators.
+const ROUNDS: u32 = 5;
+
+/// Returns the document with another weight of the account `league`.
+fn with_share(deployment: &Deployment, share: u32) -> Result<Document> {
+    let mut doc = deployment.document()?;
+    for account in &mut doc.accounts {
+        if account.id.as_str() == "league" {
+            account.share = share;
+        }
+    }
+    Ok(doc)
+}
+
+async fn submit(deployment: &Deployment, share: u32) -> Result<Revision> {
+    let doc = with_share(deployment, share)?;
+    let accepted = store::submit(&deployment.platform_client(), &doc, None).await;
+    Ok(accepted?)
+}
+
+async fn set_faults(deployment: &Deployment, faults: Faults) -> Result<()> {
+    let admin = deployment.platform_admin();
+    let answer = admin
+        .send_json(Method::PUT, "/admin/faults", &faults)
+        .await?;
+    expect_that!(answer.status.is_success(), eq(true), "{answer:?}");
+    Ok(())
+}
+
+/// Returns the revision that an entry says it has in force; `None` if it is not ready.
+async fn revision_at(addr: SocketAddr) -> Option<u64> {
+    let answer = Client::new(addr).get("/readyz").await.ok()?;
+    let text = answer.text.strip_prefix("ready revision=")?;
+    text.split(' ').next()?.parse().ok()
+}
+
+async fn wait_revision(addr: SocketAddr, revision: Revision) -> Result<()> {
+    wait_until("the revision is in force", || async {
+        revision_at(addr).await == Some(revision.get())
+    })
+    .await?;
+    Ok(())
+}
+
+/// Watches the revisions of all entries, which must never go back.
+struct Watcher {
+    stopped: Arc<AtomicBool>,
+    faults: Arc<Mutex<Vec<String>>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Watcher {
+    fn start(deployment: &Deployment) -> Self {
+        let (stopped, faults) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let watch = |addr| tokio::spawn(watch(addr, stopped.clone(), Arc::clone(&faults)));
+        let tasks = deployment.entries.iter().map(|slot| watch(slot.addr));
+        Self {
+            tasks: tasks.collect(),
+            stopped: stopped.clone(),
+            faults: faults.clone(),
+        }
+    }
+
+    async fn stop(self) -> Result<()> {
+        self.stopped.store(true, Ordering::SeqCst);
+        for task in self.tasks {
+            task.await?;
+        }
+        let faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        expect_that!(*faults, is_empty());
+        Ok(())
+    }
+}
+
+async fn watch(addr: SocketAddr, stopped: Arc<AtomicBool>, faults: Arc<Mutex<Vec<String>>>) {
+    let mut last = 0;
+    while !stopped.load(Ordering::SeqCst) {
+        if let Some(now) = revision_at(addr).await {
+            if now < last {
+                let mut faults = faults.lock().unwrap_or_else(PoisonError::into_inner);
+                faults.push(format!("{addr}: {now} after {last}"));
+            }
+            last = now;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_racing_operators_one_is_accepted_and_in_force_everywhere() -> Result<()> {
+    let deployment = Deployment::start(Layout::default()).await?;
+    let watcher = Watcher::start(&deployment);
+    let platform = deployment.platform_client();
+    for round in 0..ROUNDS {
+        let before = deployment.status().await?.accepted;
+        let docs = [
+            with_share(&deployment, 10 + round)?,
+            with_share(&deployment, 100 + round)?,
+        ];
+        let (first, second) = tokio::join!(
+            store::submit(&platform, &docs[0], Some(before)),
+            store::submit(&platform, &docs[1], Some(before)),
+        );
+        let next = Revision::new(before.get() + 1);
+        let winner = match (&first, &second) {
+            (Ok(revision), Err(SubmitError::Conflict { .. })) if *revision == next => 0,
+            (Err(SubmitError::Conflict { .. }), Ok(revision)) if *revision == next => 1,
+            _ => return fail!("{first:?} and {second:?}"),
+        };
+        deployment.wait_settled().await?;
+        for slot in &deployment.entries {
+            expect_that!(revision_at(slot.addr).await, some(eq(next.get())));
+        }
+        let accepted = store::load(&platform, None).await?.or_fail()?;
+        expect_that!(accepted.revision(), eq(next));
+        let league = accepted.accounts.get(&"league".parse()?).or_fail()?;
+        expect_that!(league.share, eq([10, 100][winner] + round));
+    }
+    watcher.stop().await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_racing_commands_give_one_success_and_one_conflict() -> Result<()> {
+    let deployment = Deployment::start(Layout::default()).await?;
+    let addr = deployment.platform.addr().to_string();
+    let mut files = Vec::new();
+    for share in [2, 3] {
+        let name = format!("cyclamen-race-{}-{share}.json", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, with_share(&deployment, share)?.to_json())?;
+        files.push(path);
+    }
+    let submit = |n: usize| {
+        let file = files[n].display().to_string();
+        let args = ["submit", &file, "--platform", &addr, "--expect", "1"];
+        cyc_cli::run(args.iter().map(Into::into).collect())
+    };
+    let (first, second) = tokio::join!(submit(0), submit(1));
+    let mut exits = [first.exit, second.exit].map(|exit| format!("{exit:?}"));
+    exits.sort();
+    expect_that!(
+        exits,
+        eq(&["Ok", "Refused"].map(String::from)),
+        "{first:?} {second:?}"
+    );
+    let loser = if first.exit == Exit::Ok {
+        &second
+    } else {
+        &first
+    };
+    expect_that!(
+        loser.err,
+        contains_substring("conflict: revision 2 is in force")
+    );
+    for file in files {
+        std::fs::remove_file(file)?;
+    }
+    deployment.wait_settled().await?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_invalid_document_changes_nothing() -> Result<()> {
+    let deployment = Deployment::start(Layout::default()).await?;
+    let platform = deployment.platform_client();
+    let before = store::load(&platform, None).await?.or_fail()?;
+    let mut doc = deployment.document()?;
+    doc.services.services.clear();
+    let refused = store::submit(&platform, &doc, None).await;
+    expect_that!(refused, err(matches_pattern!(SubmitError::Rejected(_))));
+    let after = store::load(&platform, None).await?.or_fail()?;
+    expect_that!(after, eq(&before));
+    for slot in &deployment.entries {
+        expect_that!(
+            revision_at(slot.addr).await,
+            some(eq(before.revision().get()))
+        );
+    }
+    Ok(())
+}
+
+/// Every answer to a call for the configuration is lost.
+fn config_out() -> Faults {
+    Faults {
+        lost: LostAnswers::EveryCall,
+        lost_kind: Some(Kind::Config),
+        ..Faults::default()
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_restarts_without_the_configuration_is_not_ready() -> Result<()> {
+    let mut deployment = Deployment::start(Layout::default()).await?;
+    deployment.top_up("league", "payment-1", 10_000).await?;
+    let revision = submit(&deployment, 2).await?;
+    deployment.wait_settled().await?;
+    set_faults(&deployment, config_out()).await?;
+    deployment.stop_entry(0).await?;
+    deployment.restart_entry(0).await?;
+    let addr = deployment.entries[0].addr;
+    let ready = Client::new(addr).get("/readyz").await?;
+    expect_that!(ready.status.as_u16(), eq(503));
+    expect_that!(ready.text, eq("no configuration\n"));
+    let refused = deployment.caller(0, "league").status("kit-7", &[]).await?;
+    expect_that!(refused.kind(), some(eq(ErrorKind::NotConfigured)));
+    expect_that!(refused.outcome(), some(eq(Outcome::NotRun)));
+    // The other entry keeps what it has.
+    let other = deployment.entries[1].addr;
+    expect_that!(revision_at(other).await, some(eq(revision.get())));
+
+    set_faults(&deployment, Faults::default()).await?;
+    wait_revision(addr, revision).await?;
+    deployment.wait_settled().await.map_err(Into::into)
+}
+
+/// Restarts entry 1 with entry 0 as its seed.
+async fn restart_with_seed(deployment: &mut Deployment) -> Result<()> {
+    let platform = deployment.platform_client();
+    let entries = cyc_member::list(&platform, cyc_member::Role::Entry).await?;
+    let line = format!("seeds = {}", entries[0].addr);
+    deployment.layout.entry_settings.push(("peers", line));
+    deployment.stop_entry(1).await?;
+    deployment.restart_entry(1).await?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_restarts_without_the_platform_takes_the_configuration_of_a_peer()
+-> Result<()> {
+    let mut deployment = Deployment::start(Layout::default()).await?;
+    let revision = submit(&deployment, 2).await?;
+    deployment.wait_settled().await?;
+    set_faults(&deployment, config_out()).await?;
+    restart_with_seed(&mut deployment).await?;
+    wait_revision(deployment.entries[1].addr, revision).await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_cut_off_from_the_platform_learns_a_revision_from_its_peer() -> Result<()> {
+    let mut deployment = Deployment::start(Layout::default()).await?;
+    restart_with_seed(&mut deployment).await?;
+    deployment.wait_settled().await?;
+    let watcher = Watcher::start(&deployment);
+    let cut_off = &deployment.entries[1];
+    // A partition: connections stay open, and nothing comes through.
+    cut_off.to_platform.black_hole();
+    let revision = submit(&deployment, 3).await?;
+    wait_revision(cut_off.addr, revision).await?;
+    cut_off.to_platform.heal();
+    let revision = submit(&deployment, 4).await?;
+    wait_revision(cut_off.addr, revision).await?;
+    watcher.stop().await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answers_of_the_platform_never_bring_an_old_revision_back() -> Result<()> {
+    let mut deployment = Deployment::start(Layout::default()).await?;
+    restart_with_seed(&mut deployment).await?;
+    deployment.wait_settled().await?;
+    let watcher = Watcher::start(&deployment);
+    let late = &deployment.entries[1];
+    // The answer about the first submission arrives after the second is in force.
+    late.to_platform.hold(Direction::FromTarget);
+    submit(&deployment, 3).await?;
+    let second = submit(&deployment, 4).await?;
+    wait_revision(late.addr, second).await?;
+    late.to_platform.heal();
+    set_faults(
+        &deployment,
+        Faults {
+            slow: Millis::new(300),
+            ..Faults::default()
+        },
+    )
+    .await?;
+    let third = submit(&deployment, 5).await?;
+    for slot in &deployment.entries {
+        wait_revision(slot.addr, third).await?;
+    }
+    deployment.wait_settled().await?;
+    watcher.stop().await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sidecar_that_restarts_gets_the_accepted_configuration() -> Result<()> {
+    let mut deployment = Deployment::start(Layout::default()).await?;
+    submit(&deployment, 3).await?;
+    deployment.wait_settled().await?;
+    deployment.signal_sidecar(0, Signal::Kill)?;
+    let killed = deployment.targets[0].sidecar.take();
+    drop(killed);
+    deployment.restart_sidecar(0).await?;
+    deployment.wait_settled().await?;
+    let status = deployment.status().await?;
+    expect_that!(status.is_in_force(status.accepted), eq(true), "{status}");
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_gets_no_more_at_a_time_than_the_configuration_says() -> Result<()> {
+    let layout = Layout {
+        engines: 1,
+        desks: 1,
+        entries: 1,
+        ..Layout::default()
+    };
+    let layout = layout.with_engine_arg("--token-ms").with_engine_arg("5");
+    let deployment = Deployment::start(layout).await?;
+    deployment.top_up("league", "payment-1", 1_000_000).await?;
+    let mut doc = deployment.document()?;
+    for target in &mut doc.services.targets {
+        target.slots.drafting = 1;
+    }
+    store::submit(&deployment.platform_client(), &doc, None).await?;
+    deployment.wait_settled().await?;
+    let caller = deployment.caller(0, "league");
+    let drafts = (0..4).map(|n| {
+        let caller = caller.clone();
+        async move { caller.chat(&format!("Tale {n}."), 20, true, &[]).await }
+    });
+    let engine = Client::new(deployment.targets[0].target.addr());
+    let mut most = 0;
+    let mut drafts = pin!(futures::future::join_all(drafts));
+    let replies = loop {
+        tokio::select! {
+            replies = &mut drafts => break replies,
+            load = engine.get("/v1/load") => {
+                let load: serde_json::Value = load?.json()?;
+                most = most.max(load["running"].as_u64().or_fail()?);
+            }
+        }
+    };
+    for reply in replies {
+        expect_that!(reply?.complete, eq(true));
+    }
+    expect_that!(most, eq(1));
+    Ok(())
+}
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -144,6 +144,12 @@
         }
     }
 
+    /// Changes the number of slots. Requests that run keep theirs, also beyond a smaller number.
+    pub fn resize(&self, slots: usize) {
+        self.0.queue().resize(slots);
+        self.0.hand_out();
+    }
+
     /// Returns the numbers of running and of waiting requests.
     pub fn depth(&self) -> (usize, usize) {
         self.0.queue().depth()
--- a/crates/route/src/pool/queue.rs
+++ b/crates/route/src/pool/queue.rs
@@ -59,6 +59,10 @@
         }
     }
 
+    pub(super) fn resize(&mut self, slots: usize) {
+        self.options.slots = slots.max(1);
+    }
+
     pub(super) fn depth(&self) -> (usize, usize) {
         (self.running, self.waiting)
     }
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -36,6 +36,9 @@
 }
 
 /// `[limits]` of a sidecar.
+///
+/// The slots in force are the smaller of these and of those that the configuration gives the
+/// target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SidecarLimits {
     /// `status_slots`: status requests that run at a time; default 32.
--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -81,6 +81,11 @@
         &self.options.claims
     }
 
+    /// Returns the pools of the route classes.
+    pub fn pools(&self) -> &Pools {
+        &self.options.pools
+    }
+
     /// Returns the memory of runs, fences and receipts.
     pub fn table(&self) -> &Table {
         &self.table
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -5,10 +5,7 @@
 use cyc_claim::{Committer, commit};
 use cyc_member::{Backoff, Entry as MemberEntry, Role, fence, register};
 use cyc_platform::{HttpPlatform, Platform};
-use cyc_proto::{
-    ProcessKey, bind, serve,
-    sidecar::{RouteClass, SidecarServer as _},
-};
+use cyc_proto::{ProcessKey, bind, serve, sidecar::SidecarServer as _};
 use cyc_route::{Pools, pool};
 use cyc_settings::{SidecarSettings, TargetKind};
 use cyc_types::{Clock, Incarnation, Millis};
@@ -18,6 +15,7 @@
     claims::Claims,
     load,
     rpc::Rpc,
+    slots,
     target::TargetClient,
 };
 
@@ -86,6 +84,7 @@
     if settings.target.kind == TargetKind::Engine {
         tokio::spawn(load::follow_engine(sidecar.clone(), settings.target.load));
     }
+    tokio::spawn(slots::follow(sidecar.clone(), settings.limits.clone()));
     let buffer = usize::try_from(settings.limits.answer_buffer.get()).unwrap_or(usize::MAX);
     tokio::spawn(evict(sidecar.clone(), settings.limits.retry_window, buffer));
     println!("listening on {addr}");
@@ -107,11 +106,7 @@
     );
     let limits = &settings.limits;
     let options = |class| pool::Options {
-        slots: match class {
-            RouteClass::Status => limits.status_slots,
-            RouteClass::Booking => limits.booking_slots,
-            RouteClass::Drafting => limits.drafting_slots,
-        },
+        slots: slots::of_settings(limits, class),
         queue: limits.queue,
         ..pool::Options::default()
     };
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod rpc;
 pub mod run;
+pub mod slots;
 pub mod table;
 pub mod target;
 
