--- a/crates/entry/src/api/chat.rs
+++ b/crates/entry/src/api/chat.rs
@@ -62,6 +62,7 @@
     let json: ChatJson = serde_json::from_str(text).map_err(|e| bad(format!("the body: {e}")))?;
     let max_output = max_output(&json)?;
     let prompt = prompt_text(&json.messages)?;
+    let role_bytes: usize = json.messages.iter().map(|m| m.role.len()).sum();
     let (service, route) = services.chat(&json.model).ok_or_else(|| {
         Refusal::new(
             ErrorKind::NoSuchModel,
@@ -69,7 +70,8 @@
         )
     })?;
     let model: Option<ModelId> = service.chat_name().cloned();
-    let worst = prompt.len() as u64 + TOKENS_PER_MESSAGE * json.messages.len() as u64 + max_output;
+    let text_bytes = (prompt.len() + role_bytes) as u64;
+    let worst = text_bytes + TOKENS_PER_MESSAGE * json.messages.len() as u64 + max_output;
     let ask = Ask {
         service: service.id.clone(),
         model,
@@ -107,23 +109,21 @@
     Ok(limit)
 }
 
+/// Returns the contents of the messages joined by line feeds: the text whose prefixes engines name
+/// in their cache events.
 fn prompt_text(messages: &[MessageJson]) -> Result<String, Refusal> {
     if messages.is_empty() {
         return Err(bad("messages: at least one is needed"));
     }
-    let mut text = String::new();
-    for (index, message) in messages.iter().enumerate() {
-        let Some(content) = message.content.as_str() else {
-            return Err(bad(format!(
-                "messages[{index}].content: only text is allowed"
-            )));
-        };
-        text.push_str(&message.role);
-        text.push('\n');
-        text.push_str(content);
-        text.push('\n');
-    }
-    Ok(text)
+    let contents: Result<Vec<&str>, Refusal> = messages
+        .iter()
+        .enumerate()
+        .map(|(index, message)| {
+            let text = message.content.as_str();
+            text.ok_or_else(|| bad(format!("messages[{index}].content: only text is allowed")))
+        })
+        .collect();
+    Ok(contents?.join("\n"))
 }
 
 fn bad(detail: impl Into<SmolStr>) -> Refusal {
--- /dev/null
+++ b/crates/quickstart/src/bin/measure/memory.rs
@@ -0,0 +1,77 @@
+//! Memory and CPU time of the processes, idle and under load.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use cyc_quickstart::{Deployment, Error, Layout};
+
+use crate::{
+    latency::quantiles,
+    process::{Usage, usage},
+    requests::{Kind, load},
+};
+
+/// How long the idle deployment is looked at.
+const IDLE: Duration = Duration::from_secs(10);
+/// Requests of each kind and tasks that send them.
+const LOAD: (usize, usize) = (20_000, 32);
+const PAID: u64 = 1_000_000_000;
+
+/// Prints a table of the processes for each phase.
+pub async fn measure() -> Result<(), Error> {
+    let deployment = Deployment::start(Layout::new_dala().with_direct()).await?;
+    deployment.top_up("league", "payment-1", PAID).await?;
+    println!("Dala's size: 12 engines, 3 desks, 15 sidecars, 2 entries");
+    let before = snapshot(&deployment);
+    tokio::time::sleep(IDLE).await;
+    print("idle", IDLE, &before, &snapshot(&deployment));
+
+    let entries: Vec<SocketAddr> = deployment.entries.iter().map(|slot| slot.addr).collect();
+    for kind in [Kind::Status, Kind::Chat] {
+        let before = snapshot(&deployment);
+        let started = Instant::now();
+        let times = load(&entries, "league", kind, LOAD).await?;
+        let taken = started.elapsed();
+        let (p50, p99) = quantiles(times)?;
+        let rate = LOAD.0 as f64 / taken.as_secs_f64();
+        println!(
+            "{} x {kind} by {} callers: {rate:.0}/s, p50 {p50} us, p99 {p99} us",
+            LOAD.0, LOAD.1
+        );
+        print(&kind.to_string(), taken, &before, &snapshot(&deployment));
+    }
+    Ok(())
+}
+
+type Row = (&'static str, Usage);
+
+fn snapshot(deployment: &Deployment) -> Vec<Row> {
+    let entries = deployment.entries.iter().filter_map(|s| s.process.as_ref());
+    let sidecars = deployment.targets.iter().filter_map(|s| s.sidecar.as_ref());
+    let entries = entries.map(|process| ("entry", usage(process.id())));
+    entries
+        .chain(sidecars.map(|process| ("sidecar", usage(process.id()))))
+        .collect()
+}
+
+fn print(phase: &str, taken: Duration, before: &[Row], after: &[Row]) {
+    for role in ["entry", "sidecar"] {
+        let pairs: Vec<(&Usage, &Usage)> = before
+            .iter()
+            .zip(after)
+            .filter(|((name, _), _)| *name == role)
+            .map(|((_, before), (_, after))| (before, after))
+            .collect();
+        let count = pairs.len().max(1) as f64;
+        let cpu: u64 = pairs.iter().map(|(a, b)| b.cpu_ms - a.cpu_ms).sum();
+        let largest = pairs.iter().map(|(_, after)| after.rss_kib).max();
+        let share = cpu as f64 / count / taken.as_millis() as f64 * 100.0;
+        println!(
+            "{phase}: {role} x {count}: largest VmRSS {} KiB, CPU {share:.2}% of a core each, \
+             {cpu} ms in all",
+            largest.unwrap_or_default()
+        );
+    }
+}
--- a/crates/quickstart/src/deploy.rs
+++ b/crates/quickstart/src/deploy.rs
@@ -396,7 +396,11 @@
     pub fn document(&self) -> Result<Document, Error> {
         let addrs = |kind| -> Vec<SocketAddr> {
             let slots = self.targets.iter().filter(|slot| slot.kind == kind);
-            slots.map(|slot| slot.relay.addr()).collect()
+            let addr = |slot: &TargetSlot| match self.layout.direct {
+                true => slot.addr,
+                false => slot.relay.addr(),
+            };
+            slots.map(addr).collect()
         };
         let (engines, desks) = (addrs(TargetKind::Engine), addrs(TargetKind::Desk));
         Ok(layout::document(&self.layout, &engines, &desks)?)
--- a/crates/quickstart/src/layout.rs
+++ b/crates/quickstart/src/layout.rs
@@ -41,6 +41,8 @@
     pub entries: usize,
     /// Client accounts, each with one budget of the same name.
     pub accounts: Vec<&'static str>,
+    /// True if entries connect to sidecars without a relay between them, for measurements.
+    pub direct: bool,
     /// Arguments of each engine.
     pub engine_args: Vec<String>,
     /// Lines added to the settings of entries, by section.
@@ -56,6 +58,7 @@
             desks: 2,
             entries: 2,
             accounts: vec!["league", "club"],
+            direct: false,
             engine_args: Vec::new(),
             entry_settings: Vec::new(),
             sidecar_settings: Vec::new(),
@@ -73,6 +76,12 @@
         }
     }
 
+    /// Connects entries to sidecars without a relay between them.
+    pub fn with_direct(mut self) -> Self {
+        self.direct = true;
+        self
+    }
+
     /// Adds a line to the settings of every entry.
     pub fn with_entry_setting(mut self, section: &'static str, line: impl Into<String>) -> Self {
         self.entry_settings.push((section, line.into()));
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -11,18 +11,13 @@
 
 /// Returns the hash of each prefix of `prompt` that ends at a multiple of [`BLOCK_BYTES`].
 ///
-/// Each hash covers all bytes before it, so that a known hash implies all earlier ones.
+/// Each is the plain hash of all bytes before its end, as engines name prefixes in their cache
+/// events. [`BLOCK_BYTES`] is a multiple of the engines' block, so their events cover these ends.
 pub fn hashes(prompt: &[u8]) -> Vec<u64> {
-    let mut last = 0_u64;
-    let blocks = prompt.chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
-    let chain = blocks.map(|block| {
-        let mut buf = [0; BLOCK_BYTES + 8];
-        buf[..8].copy_from_slice(&last.to_be_bytes());
-        buf[8..].copy_from_slice(block);
-        last = hash::stable(&buf);
-        last
-    });
-    chain.collect()
+    let blocks = (prompt.len() / BLOCK_BYTES).min(MAX_BLOCKS);
+    (1..=blocks)
+        .map(|block| hash::stable(&prompt[..block * BLOCK_BYTES]))
+        .collect()
 }
 
 /// Returns the key that chooses the candidates of a prompt: prompts with the same first block
