--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod contacts;
 pub mod duty;
 pub mod follow;
+pub mod gauges;
 pub mod heartbeat;
 pub mod merge;
 pub mod reclaim;
