--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -95,6 +95,14 @@
     tokio::spawn(control::heartbeat::run(app.clone()));
     tokio::spawn(control::contacts::run(app.clone(), platform.clone()));
     tokio::spawn(control::vms::run(app.clone(), platform.clone()));
+    let absence = settings.ledger.vm_absence;
+    tokio::spawn(control::reclaim::run(
+        app.clone(),
+        platform.clone(),
+        absence,
+    ));
+    let window = settings.ledger.retry_window;
+    tokio::spawn(control::merge::run(app.clone(), platform.clone(), window));
     let seeds = settings.peers.seeds.clone();
     tokio::spawn(control::follow::run(app.clone(), platform, seeds, key));
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -15,6 +15,6 @@
 pub use flush::{Billed, Flusher, Ledger};
 pub use level::{LevelCount, Series};
 pub use merge::{MergeRecord, merge};
-pub use reclaim::{Fences, Reclaimer, Sidecars};
+pub use reclaim::{Reclaimer, Sidecars};
 pub use report::{Report, report};
 pub use segment::{RefusalCount, Segment};
--- a/crates/quickstart/src/layout.rs
+++ b/crates/quickstart/src/layout.rs
@@ -49,6 +49,8 @@
     pub entries: usize,
     /// Client accounts, each with one budget of the same name.
     pub accounts: Vec<&'static str>,
+    /// True if entries connect to sidecars without a relay between them, for measurements.
+    pub direct: bool,
     /// Arguments of each engine.
     pub engine_args: Vec<String>,
     /// Lines added to the settings of entries, by section.
@@ -64,6 +66,7 @@
             desks: 2,
             entries: 2,
             accounts: vec!["league", "club"],
+            direct: false,
             engine_args: Vec::new(),
             entry_settings: Vec::new(),
             sidecar_settings: Vec::new(),
@@ -81,6 +84,12 @@
         }
     }
 
+    /// Connects entries to sidecars without a relay between them.
+    pub fn with_direct(mut self) -> Self {
+        self.direct = true;
+        self
+    }
+
     /// Adds a line to the settings of every entry.
     pub fn with_entry_setting(mut self, section: &'static str, line: impl Into<String>) -> Self {
         self.entry_settings.push((section, line.into()));
@@ -110,7 +119,7 @@
     format!("almaty-{}", ["a", "b", "c"][n % 3])
 }
 
-/// Writes settings: each line under its section.
+/// Writes settings: each line under its section. A later line of a key replaces an earlier one.
 pub fn settings_text(lines: &[(&str, String)]) -> String {
     let mut sections: Vec<&str> = Vec::new();
     for (section, _) in lines {
@@ -121,13 +130,22 @@
     let mut text = String::new();
     for section in sections {
         text.push_str(&format!("[{section}]\n"));
-        for (_, line) in lines.iter().filter(|(name, _)| *name == section) {
-            text.push_str(&format!("{line}\n"));
+        let lines = lines.iter().filter(|(name, _)| *name == section);
+        let lines: Vec<&String> = lines.map(|(_, line)| line).collect();
+        for (n, line) in lines.iter().enumerate() {
+            let is_replaced = |later: &&String| key_of(later) == key_of(line);
+            if !lines[n + 1..].iter().any(is_replaced) {
+                text.push_str(&format!("{line}\n"));
+            }
         }
     }
     text
 }
 
+fn key_of(line: &str) -> &str {
+    line.split('=').next().unwrap_or(line).trim()
+}
+
 /// Why a document could not be written.
 #[derive(Debug)]
 pub enum DocumentError {
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -129,6 +129,14 @@
     pub fn wait(&mut self) -> Result<bool, Error> {
         Ok(self.child.wait()?.success())
     }
+
+    /// Waits for the end of the process; returns its exit code, or `None` if a signal ended it.
+    ///
+    /// # Errors
+    /// If the process cannot be waited for.
+    pub fn wait_code(&mut self) -> Result<Option<i32>, Error> {
+        Ok(self.child.wait()?.code())
+    }
 }
 
 impl Drop for Process {
