cyclamenlead: the front library

Cause: others had to name nine crates to embed the parts. Conclusion: embedders depend on one crate.

--- /dev/null
+++ b/crates/cyclamenlead/tests/cyclamenlead.rs
@@ -0,0 +1,71 @@
+//! A program that embeds the front library alone.
+
+use std::sync::Arc;
+
+use cyc_standin::{platform, serve::Server, store::Store};
+use cyclamenlead::{
+    budget::{Keeper, Payment, SHARDS, keeper, top_up},
+    burn,
+    config::{Account, ApiKey, Builder, store},
+    ledger::{self, Flusher, flush, report},
+    member::{Entry, Role, register},
+    platform::HttpPlatform,
+    types::{Clock, Millis, Tokens},
+};
+use googletest::prelude::*;
+
+const PATIENCE: Millis = Millis::new(30_000);
+
+#[gtest]
+#[tokio::test]
+async fn a_program_registers_spends_and_reports() -> Result<()> {
+    let server = Server::start(platform::router(Store::default())).await?;
+    let platform = Arc::new(HttpPlatform::new(server.addr()));
+    let account = Account::new("league".parse()?)
+        .with_budget("league".parse()?)
+        .with_key(ApiKey::new("key", "league".parse()?));
+    let doc = Builder::new().with_account(account).build().or_fail()?;
+    store::submit(platform.as_ref(), &doc, None).await?;
+    let payment = Payment {
+        budget: "league".parse()?,
+        account: "league".parse()?,
+        id: "inv-1".into(),
+        tokens: Tokens::new(1_000),
+        at: Clock::System.wall(),
+    };
+    top_up(platform.as_ref(), SHARDS, payment).await.or_fail()?;
+
+    let entry = Entry {
+        role: Role::Entry,
+        vm: "vm-a".parse()?,
+        zone: "almaty-a".parse()?,
+        addr: server.addr(),
+        target: None,
+    };
+    let me = register(platform.as_ref(), &entry).await?;
+    let options = keeper::Options::default();
+    let (purse, keeper) = Keeper::new(platform.clone(), me.clone(), Clock::System, options);
+    tokio::spawn(keeper.run());
+    let options = flush::Options::default();
+    let (ledger, flusher, _released) =
+        Flusher::new(platform.clone(), purse.clone(), me, Clock::System, options);
+    tokio::spawn(flusher.run());
+    let budget = "league".parse()?;
+    let reservation = purse.reserve(&budget, Tokens::new(50), PATIENCE).await?;
+    purse.release(reservation);
+    ledger.close(PATIENCE).await;
+    purse.close(PATIENCE).await;
+
+    let spend = report(&report_objects(&platform).await?);
+    let balance = spend.accounts[&"league".parse()?].balance;
+    expect_that!(balance.is_balanced(), eq(true));
+    expect_that!(balance.paid, eq(Tokens::new(1_000)));
+    expect_that!(balance.free, eq(Tokens::new(1_000)));
+    let counts = burn::report::collect(platform.as_ref()).await?;
+    expect_that!(counts.series().count(), eq(0));
+    Ok(())
+}
+
+async fn report_objects(platform: &Arc<HttpPlatform>) -> Result<ledger::report::Objects> {
+    Ok(ledger::report::collect(platform.as_ref()).await?)
+}
