--- a/crates/obs/tests/obs.rs
+++ b/crates/obs/tests/obs.rs
@@ -1,5 +1,8 @@
 //! Tests of logs and metrics.
 
+#[path = "obs/pages.rs"]
+mod pages;
+
 use std::{net::UdpSocket, time::Duration};
 
 use cadence::{CountedExt as _, Gauged as _};
