Reclaim needs the evidence of the very sidecars that the holder used

Cause: another incarnation of a sidecar answered a fence with empty evidence, and the grant was given back whole although runs of the earlier incarnation may have used part of it. Ruled out: treating a restarted sidecar as silent for ever for all holders (holders that never used the earlier incarnation need not wait). Conclusion: what no evidence covers stays held and is listed.

--- a/crates/ledger/src/evidence.rs
+++ b/crates/ledger/src/evidence.rs
@@ -11,6 +11,11 @@
 /// The answers of all sidecars of the configuration to one fence.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Evidence {
+    /// By fenced holder, the sidecar incarnations that it may have sent work to, as sealed before
+    /// the sidecars were asked.
+    pub contacts: BTreeMap<Incarnation, BTreeMap<TargetId, Incarnation>>,
+    /// By target, the sidecar incarnation that answered.
+    pub answered: BTreeMap<TargetId, Incarnation>,
     /// The answers.
     pub replies: Vec<FenceReply>,
     /// The targets whose sidecars could not be asked.
@@ -22,6 +27,9 @@
 pub enum Reason {
     /// A sidecar could not be asked; it may still run a request that the grant pays.
     Silent(TargetId),
+    /// The sidecar incarnation that the holder may have sent work to has ended, and its receipts
+    /// with it.
+    Restarted(TargetId),
     /// A run that the grant pays goes on.
     Running(RequestId),
     /// An entry that is not fenced here has still to settle a receipt.
@@ -36,6 +44,12 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Silent(target) => write!(f, "the sidecar of {target} cannot be asked"),
+            Self::Restarted(target) => {
+                write!(
+                    f,
+                    "the sidecar of {target} has ended without handing over its receipts"
+                )
+            }
             Self::Running(request) => write!(f, "request {request} is still running"),
             Self::Unsettled(entry) => write!(f, "{entry} has not settled a receipt yet"),
             Self::Overspent => f.write_str("the receipts are more than the grant"),
@@ -153,7 +167,26 @@
     evidence.replies.iter().flat_map(|reply| &reply.receipts)
 }
 
+/// Returns the first sidecar incarnation that the holder may have sent work to and that gives no
+/// evidence.
+fn missing_contact(evidence: &Evidence, holder: &Incarnation) -> Option<Reason> {
+    let Some(contacts) = evidence.contacts.get(holder) else {
+        // The grant is younger than the seal; the next round has it.
+        return Some(Reason::Changed);
+    };
+    contacts
+        .iter()
+        .find_map(|(target, contact)| match evidence.answered.get(target) {
+            Some(answered) if answered == contact => None,
+            Some(_) => Some(Reason::Restarted(target.clone())),
+            None => Some(Reason::Silent(target.clone())),
+        })
+}
+
 fn blocker(lowest: &Incarnation, evidence: &Evidence, grant: &GrantId) -> Option<Reason> {
+    if let Some(reason) = missing_contact(evidence, &grant.holder) {
+        return Some(reason);
+    }
     let mut runs = evidence.replies.iter().flat_map(|reply| &reply.running);
     if let Some(run) = runs.find(|run| run.grant == *grant) {
         return Some(Reason::Running(run.request));
--- a/crates/ledger/src/read.rs
+++ b/crates/ledger/src/read.rs
@@ -56,6 +56,13 @@
     }
 }
 
+pub(crate) fn contacts_error(error: cyc_member::contacts::Error) -> Error {
+    match error {
+        cyc_member::contacts::Error::Platform(error) => error,
+        error @ cyc_member::contacts::Error::Sealed => malformed(error),
+    }
+}
+
 pub(crate) fn malformed(error: impl std::fmt::Display) -> Error {
     Error::Malformed(error.to_string())
 }
--- a/crates/ledger/src/reclaim.rs
+++ b/crates/ledger/src/reclaim.rs
@@ -11,14 +11,14 @@
 
 use async_trait::async_trait;
 use cyc_budget::{Applied, Op, OpError, Purse};
-use cyc_member::fence;
+use cyc_member::{contacts, fence};
 use cyc_platform::{Error, Expect, Kind, Platform, Result};
 use cyc_proto::{GrantId, LinkError, sidecar::FenceReply};
 use cyc_types::{Clock, Incarnation, Millis, RequestId, TargetId, Tokens, VmId};
 use serde::Deserialize;
 
 use crate::{
-    evidence::{Evidence, Plan, Reason, Unresolved, plan},
+    evidence::{Evidence, Plan, Reason, Unresolved, is_below, plan},
     read::{self, malformed},
     segment::Segment,
 };
@@ -126,7 +126,8 @@
             fence::raise(&*self.platform, &lowest)
                 .await
                 .map_err(read::member_error)?;
-            let evidence = self.ask(&lowest).await;
+            let contacts = self.seal_contacts(&lowest).await?;
+            let evidence = self.ask(&lowest, contacts).await;
             let complete = evidence.silent.is_empty();
             let running = evidence.replies.iter().any(|r| !r.running.is_empty());
             let plan = self.plan(&lowest, &evidence).await?;
@@ -174,11 +175,41 @@
         now.saturating_sub(since) >= self.options.absence
     }
 
-    async fn ask(&self, lowest: &Incarnation) -> Evidence {
-        let mut evidence = Evidence::default();
+    /// Seals the contacts of the fenced holders, so that none of them can send work to a sidecar
+    /// that is not asked.
+    async fn seal_contacts(
+        &self,
+        lowest: &Incarnation,
+    ) -> Result<BTreeMap<Incarnation, BTreeMap<TargetId, Incarnation>>> {
+        let records = read::records(&*self.platform).await?;
+        let holders = records.values().flat_map(|record| record.grants.keys());
+        let fenced: BTreeSet<&Incarnation> =
+            holders.filter(|holder| is_below(lowest, holder)).collect();
+        let mut sealed = BTreeMap::new();
+        for holder in fenced {
+            let contacts = contacts::seal(&*self.platform, holder)
+                .await
+                .map_err(read::contacts_error)?;
+            sealed.insert(holder.clone(), contacts.sidecars);
+        }
+        Ok(sealed)
+    }
+
+    async fn ask(
+        &self,
+        lowest: &Incarnation,
+        contacts: BTreeMap<Incarnation, BTreeMap<TargetId, Incarnation>>,
+    ) -> Evidence {
+        let mut evidence = Evidence {
+            contacts,
+            ..Evidence::default()
+        };
         for (target, reply) in self.sidecars.fence(lowest).await {
             match reply {
-                Ok(reply) => evidence.replies.push(reply),
+                Ok(reply) => {
+                    evidence.answered.insert(target, reply.sidecar.clone());
+                    evidence.replies.push(reply);
+                }
                 Err(_) => evidence.silent.push(target),
             }
         }
--- a/crates/ledger/tests/ledger/reclaim.rs
+++ b/crates/ledger/tests/ledger/reclaim.rs
@@ -1,6 +1,6 @@
 //! Reclaim under deaths of the reclaimer, a thaw of the holder, and incomplete evidence.
 
-use std::sync::Mutex;
+use std::{collections::BTreeMap, sync::Mutex};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -9,6 +9,7 @@
     Evidence, Flusher, Reason, Reclaimer, Segment, Sidecars, evidence::plan, flush, read,
     reclaim::Outcome,
 };
+use cyc_member::contacts;
 use cyc_platform::{Error, Expect, Kind, ObjectKey, Platform};
 use cyc_proto::{
     LinkError,
@@ -19,8 +20,8 @@
 
 use super::{fake::Fault, gate::Gate, *};
 
-/// The writes of one reclaim: fence, segment, settle, reclaim.
-const STEPS: u64 = 5;
+/// The writes of one reclaim: fence, seal, segment, settle, reclaim.
+const STEPS: u64 = 6;
 /// Longer than all waits before a retry.
 const SETTLED: Millis = Millis::new(5_000);
 
@@ -33,6 +34,8 @@
     receipts: Vec<Receipt>,
     running: Vec<RunningHold>,
     silent: bool,
+    /// True if engine-1 has another sidecar incarnation, which knows nothing.
+    restarted: bool,
 }
 
 impl FakeSidecars {
@@ -52,10 +55,17 @@
     ) -> Vec<(TargetId, std::result::Result<FenceReply, LinkError>)> {
         tokio::task::yield_now().await;
         let state = self.0.lock().unwrap();
-        let reply = FenceReply {
-            sidecar: entry(1),
-            receipts: state.receipts.clone(),
-            running: state.running.clone(),
+        let reply = match state.restarted {
+            true => FenceReply {
+                sidecar: entry(2),
+                receipts: Vec::new(),
+                running: Vec::new(),
+            },
+            false => FenceReply {
+                sidecar: entry(1),
+                receipts: state.receipts.clone(),
+                running: state.running.clone(),
+            },
         };
         let empty = FenceReply {
             sidecar: entry(1),
@@ -73,6 +83,45 @@
     }
 }
 
+/// The sidecars that entry 1 may have sent work to.
+fn contacts() -> Result<BTreeMap<TargetId, Incarnation>> {
+    Ok([
+        ("engine-1".parse()?, entry(1)),
+        ("engine-2".parse()?, entry(1)),
+    ]
+    .into())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_grant_stays_held_when_a_sidecar_ended_with_its_receipts() -> Result<()> {
+    let world = World::new(&runtime_clock()).await?;
+    let mut reclaimer = world.reclaimer(world.fake.clone(), 2);
+    // Another incarnation answers for engine-1: it knows nothing of what the first one ran.
+    world.sidecars.0.lock().or_fail()?.restarted = true;
+    for _ in 0..2 {
+        let outcome = reclaimer.round().await?;
+        expect_that!(outcome.reclaimed, is_empty());
+        let reasons: Vec<_> = outcome.unresolved.into_iter().map(|u| u.reason).collect();
+        expect_that!(reasons, eq(&vec![Reason::Restarted("engine-1".parse()?)]));
+        expect_that!(record(&world.fake).grants.len(), eq(1));
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_thawed_holder_cannot_turn_to_a_sidecar_that_was_not_asked() -> Result<()> {
+    let world = World::new(&runtime_clock()).await?;
+    let mut reclaimer = world.reclaimer(world.fake.clone(), 2);
+    expect_that!(reclaimer.round().await?.reclaimed, len(eq(1)));
+    let mut more = contacts()?;
+    more.insert("engine-3".parse()?, entry(1));
+    let late = contacts::record(&*world.fake, &entry(1), &more).await;
+    expect_that!(late, err(eq(&contacts::Error::Sealed)));
+    Ok(())
+}
+
 struct World {
     fake: Arc<Fake>,
     sidecars: Arc<FakeSidecars>,
@@ -112,6 +161,7 @@
                 told.release(&requests);
             }
         });
+        contacts::record(&*fake, &entry(1), &contacts()?).await?;
         let member = ObjectKey::new(Kind::Member, "entry.entry-a");
         let body = Bytes::from_static(br#"{"vm":"entry-a","number":2,"role":"entry"}"#);
         fake.put(&member, body, Expect::Absent).await?;
@@ -306,8 +356,9 @@
         running: Vec::new(),
     };
     let evidence = Evidence {
+        contacts: [(entry(1), BTreeMap::new())].into(),
         replies: vec![reply],
-        silent: Vec::new(),
+        ..Evidence::default()
     };
     let plan = plan(&entry(2), &evidence, &[], &records, Millis::ZERO);
     expect_that!(plan.segments, is_empty());
