A report of a busy ledger ends; requests are counted until the caller has the whole answer

Cause: the spend report was read again and again until no shard had changed in between, which never happens while entries settle several segments a second. A stream that the caller still read was not counted as in flight, so a shutdown could close the ledger before the request was counted. Ruled out: reading the records last: they could count receipts that were not read. Change: the report gives up after three rounds, with the records read before the segments; a watched request holds the shutdown until its answer is at its end; the gauge in_flight counts requests once; the gauge fenced is sent at once. Conclusion: spend ends on a live system.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -5,11 +5,12 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
+use cadence::Gauged as _;
 use cyc_budget::Purse;
 use cyc_claim::{BUCKETS, bucket_of};
 use cyc_config::InForce;
 use cyc_ledger::Ledger;
-use cyc_obs::Metrics;
+use cyc_obs::{Metrics, names};
 use cyc_route::{Ask as RouteAsk, Pools, candidates::bucket_key};
 use cyc_types::{
     AvailabilityZone, ByteSize, Clock, ErrorKind, Incarnation, Millis, Refusal, TargetId,
@@ -89,6 +90,8 @@
     pub metrics: Metrics,
     attempts: AtomicU64,
     in_flight: AtomicU64,
+    /// Requests whose answers are not at their end.
+    pub(crate) requests: AtomicU64,
     draining: AtomicBool,
     /// True while the VM list says that the VM of this entry is leaving.
     leaving: AtomicBool,
@@ -115,6 +118,7 @@
             metrics: parts.metrics,
             attempts: AtomicU64::new(0),
             in_flight: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             news: Notify::new(),
@@ -202,6 +206,8 @@
         self.drain();
         self.purse.fenced();
         self.fenced.send_replace(true);
+        // The next reading may come too late: the process is about to end.
+        self.metrics.gauge(names::FENCED, 1_u64).ok();
     }
 
     /// Returns a receiver that tells when this incarnation is fenced.
--- a/crates/entry/src/control/gauges.rs
+++ b/crates/entry/src/control/gauges.rs
@@ -1,6 +1,6 @@
 //! Emits the state of the entry as gauges.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use cadence::Gauged as _;
 use cyc_obs::names;
@@ -29,7 +29,7 @@
     let gauge = |name: &str, value: u64| {
         app.metrics.gauge(name, value).ok();
     };
-    gauge(names::IN_FLIGHT, app.in_flight());
+    gauge(names::IN_FLIGHT, app.requests.load(Ordering::Relaxed));
     for class in RouteClass::iter() {
         let (busy, waiting) = app.pools.of(class).depth();
         gauge(&format!("{}{class}", names::POOL_BUSY), busy as u64);
--- a/crates/entry/src/observe.rs
+++ b/crates/entry/src/observe.rs
@@ -1,6 +1,6 @@
 //! What each request counts for: metrics, service level and the refusals of the spend report.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use cadence::{Counted as _, Timed as _};
 use cyc_ledger::Series;
@@ -9,7 +9,11 @@
 use cyc_types::{BudgetId, ErrorKind, Millis, Outcome, Refusal, Tokens};
 use strum::{Display, IntoStaticStr};
 
-use crate::{app::App, cx::Cx, forward};
+use crate::{
+    app::{App, Busy},
+    cx::Cx,
+    forward,
+};
 
 /// The smallest HTTP status of a target that counts as a failure.
 const FIRST_SERVER_ERROR: u16 = 500;
@@ -120,6 +124,8 @@
     first: Option<Millis>,
     /// Invariant: `None` until the request has ended.
     end: Option<End>,
+    /// A shutdown waits until the caller has the whole answer and the request is counted.
+    _busy: Busy,
 }
 
 impl Probe {
@@ -130,12 +136,15 @@
             zone: app.zone.clone(),
         };
         let started = app.clock.now();
+        let busy = app.begin();
+        app.requests.fetch_add(1, Ordering::Relaxed);
         Self {
             app,
             series,
             started,
             first: None,
             end: None,
+            _busy: busy,
         }
     }
 
@@ -186,6 +195,7 @@
 impl Drop for Probe {
     fn drop(&mut self) {
         self.finish();
+        self.app.requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/ledger/src/report.rs
+++ b/crates/ledger/src/report.rs
@@ -15,6 +15,9 @@
     segment::Segment,
 };
 
+/// How often a report looks for a moment without changes.
+const MAX_ROUNDS: u32 = 3;
+
 /// All that a report is made from.
 #[derive(Debug, Clone, Default)]
 pub struct Objects {
@@ -103,18 +106,23 @@
     }
 }
 
-/// Reads all that a report is made from, again and again until the shards are the same before and
-/// after: then they settle exactly what the segments and merge records name.
+/// Reads all that a report is made from.
+///
+/// The records are read before the segments and the merge records. A receipt is settled, and a
+/// duplicate credited, only after its object is written, so all that the records count is found;
+/// what came later shows as pending. A few rounds look for a moment without changes, in which
+/// nothing is pending that a record would show.
 ///
 /// # Errors
 /// If the platform does not answer or an object cannot be read.
 pub async fn collect(platform: &dyn Platform) -> Result<Objects> {
     let mut records = read::records(platform).await?;
+    let mut round = 1;
     loop {
         let segments = read::segments(platform, "").await?;
         let chain = merge::chain(platform).await?;
         let again = read::records(platform).await?;
-        if again == records {
+        if again == records || round == MAX_ROUNDS {
             let fences = fence::read(platform).await.map_err(read::member_error)?;
             return Ok(Objects {
                 records,
@@ -124,6 +132,7 @@
             });
         }
         records = again;
+        round += 1;
     }
 }
 
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -1,5 +1,7 @@
 //! Tests of the ledger: segments, flush, merge, reclaim and report.
 
+#[path = "ledger/collect.rs"]
+mod collect;
 #[path = "../../budget/tests/budget/fake.rs"]
 mod fake;
 #[path = "ledger/flush.rs"]
--- a/crates/quickstart/tests/e2e/reports.rs
+++ b/crates/quickstart/tests/e2e/reports.rs
@@ -1,6 +1,9 @@
 //! The operators' reports.
 
-use std::process::{Command, Output};
+use std::{
+    process::{Command, Output},
+    time::Duration,
+};
 
 use cyc_quickstart::{Deployment, Error, Layout, deploy::wait_until};
 use cyc_standin::{
@@ -10,10 +13,13 @@
 use cyc_types::{ErrorKind, Outcome};
 use googletest::prelude::*;
 use serde_json::Value;
+use tokio::net::UdpSocket;
 
 use super::support;
 
 const ACCOUNT: &str = "league";
+/// How long metrics are waited for before they are taken for lost.
+const METRICS_LIMIT: Duration = Duration::from_secs(60);
 
 /// Runs the built program on another thread, since the relays of the deployment run on this one.
 async fn cyclamen(deployment: &Deployment, args: &[&str]) -> Result<Output> {
@@ -154,3 +160,57 @@
     }
     Ok(())
 }
+
+/// Receives datagrams until each of `wanted` begins a line of one.
+async fn receive_metrics(socket: &UdpSocket, wanted: &[&str]) -> Result<()> {
+    let mut missing = wanted.to_vec();
+    let mut buf = [0; 2_048];
+    let receiving = async {
+        while !missing.is_empty() {
+            let size = socket.recv(&mut buf).await?;
+            let text = String::from_utf8_lossy(&buf[..size]).into_owned();
+            missing.retain(|name| !text.lines().any(|line| line.starts_with(name)));
+        }
+        Ok::<(), std::io::Error>(())
+    };
+    let received = tokio::time::timeout(METRICS_LIMIT, receiving).await;
+    expect_that!(missing, is_empty());
+    Ok(received??)
+}
+
+#[gtest]
+#[tokio::test]
+async fn metrics_of_requests_and_gauges_are_sent() -> Result<()> {
+    let socket = UdpSocket::bind("127.0.0.1:0").await?;
+    let to = format!("metrics_addr = {}", socket.local_addr()?);
+    let layout = Layout {
+        engines: 1,
+        desks: 1,
+        entries: 1,
+        accounts: vec![ACCOUNT],
+        ..Layout::default()
+    };
+    let deployment = Deployment::start(layout.with_entry_setting("process", to)).await?;
+    deployment.top_up(ACCOUNT, "inv-1", 5_000).await?;
+    let caller = deployment.caller(0, ACCOUNT);
+    let draft = caller.chat("a round on maps", 20, true, &[]).await?;
+    expect_that!(draft.complete, eq(true));
+    let large = caller.chat("too much", 900_000, false, &[]).await?;
+    expect_that!(large.kind(), some(eq(ErrorKind::BudgetExhausted)));
+    let wanted = [
+        "cyclamenlead.requests.drafting.good:1|c",
+        "cyclamenlead.requests.drafting.excluded:1|c",
+        "cyclamenlead.refused.budget_exhausted:1|c",
+        "cyclamenlead.first_piece.drafting:",
+        "cyclamenlead.answer.drafting:",
+        "cyclamenlead.in_flight:0|g",
+        "cyclamenlead.pool_waiting.status:0|g",
+        "cyclamenlead.reservations_waiting:0|g",
+        "cyclamenlead.receipts_unflushed:0|g",
+        "cyclamenlead.sidecars_reachable:2|g",
+        "cyclamenlead.targets_ejected:0|g",
+        "cyclamenlead.fenced:0|g",
+        "cyclamenlead.config_revision:1|g",
+    ];
+    receive_metrics(&socket, &wanted).await
+}
