--- a/crates/cli/src/document.rs
+++ b/crates/cli/src/document.rs
@@ -1,35 +1,105 @@
 //! Submits and prints the document.
 
-use std::{net::SocketAddr, path::Path};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
-use cyc_config::{LoadError, Revised as _, SubmitError, store};
+use cyc_config::{Document, LoadError, Revised as _, SubmitError, store};
 use cyc_platform::HttpPlatform;
+use cyc_proto::ProcessKey;
 use cyc_types::Revision;
 use serde_json::json;
 
 use crate::{
     check,
+    flags::Submit,
+    input,
     output::{Exit, Output},
+    status,
 };
 
-/// Submits the document in `path`.
-pub async fn submit(
-    path: &Path,
+/// Time between two looks at the revisions in force.
+const WAIT_POLL: Duration = Duration::from_millis(100);
+/// How long a document may take to be in force everywhere.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// What is to be submitted, and where.
+struct Submission {
+    doc: Document,
     addr: SocketAddr,
     expected: Option<Revision>,
+    /// Present if the command waits.
+    key: Option<ProcessKey>,
+}
+
+/// Submits a document.
+pub async fn submit(flags: &Submit, as_json: bool) -> Output {
+    let submission = match read(flags) {
+        Ok(submission) => submission,
+        Err(out) => return out,
+    };
+    let platform = HttpPlatform::new(submission.addr);
+    let submitted = store::submit(&platform, &submission.doc, submission.expected).await;
+    let revision = match submitted {
+        Ok(revision) => revision,
+        Err(error) => return Output::error(exit_of(&error), error.to_string()),
+    };
+    if let Some(key) = submission.key {
+        return wait(&platform, &key, revision, as_json).await;
+    }
+    if as_json {
+        return Output::new(Exit::Ok, json!({ "revision": revision }).to_string());
+    }
+    Output::new(Exit::Ok, format!("revision {revision} is accepted"))
+}
+
+fn read(flags: &Submit) -> Result<Submission, Output> {
+    let addr = input::platform(&flags.platform)?;
+    let number = "a revision: a whole number, 0 for none";
+    let expected = flags.expect.as_deref();
+    let expected = expected.map(|text| input::value("--expect", text, number));
+    let key = match (flags.wait, &flags.key_file) {
+        (false, _) => None,
+        (true, Some(path)) => Some(input::key_file(path)?),
+        (true, None) => return Err(Output::error(Exit::Usage, "--wait needs --key-file")),
+    };
+    Ok(Submission {
+        doc: check::read_document(&flags.document)
+            .map_err(|faults| Output::error(Exit::Usage, faults.join("\n")))?,
+        addr,
+        expected: expected.transpose()?,
+        key,
+    })
+}
+
+/// Waits until a revision is in force everywhere.
+async fn wait(
+    platform: &HttpPlatform,
+    key: &ProcessKey,
+    revision: Revision,
     as_json: bool,
 ) -> Output {
-    let doc = match check::read_document(path) {
-        Ok(doc) => doc,
-        Err(faults) => return Output::error(Exit::Usage, faults.join("\n")),
-    };
-    match store::submit(&HttpPlatform::new(addr), &doc, expected).await {
-        Ok(revision) if as_json => {
-            Output::new(Exit::Ok, json!({ "revision": revision }).to_string())
+    let until = Instant::now() + WAIT_LIMIT;
+    let why = loop {
+        let why = match status::collect(platform, key).await {
+            Ok(status) if status.is_in_force(revision) => {
+                let text = match as_json {
+                    true => json!({ "revision": revision, "in_force": true }).to_string(),
+                    false => format!("revision {revision} is in force"),
+                };
+                return Output::new(Exit::Ok, text);
+            }
+            Ok(status) => status.to_string(),
+            Err(error) => error.to_string(),
+        };
+        if Instant::now() >= until {
+            break why;
         }
-        Ok(revision) => Output::new(Exit::Ok, format!("revision {revision} is accepted")),
-        Err(error) => Output::error(exit_of(&error), error.to_string()),
-    }
+        tokio::time::sleep(WAIT_POLL).await;
+    };
+    let text = format!("revision {revision} is accepted but not in force everywhere yet\n{why}");
+    Output::error(Exit::Unavailable, text)
 }
 
 const fn exit_of(error: &SubmitError) -> Exit {
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -1,17 +1,18 @@
 //! The command line.
 
-use std::{net::SocketAddr, path::PathBuf};
-
-use cyc_types::Revision;
+use std::path::PathBuf;
 
 xflags::xflags! {
-    /// Checks and submits the configuration of cyclamenlead.
+    /// The operators' command of cyclamenlead.
     ///
-    /// Exit codes: 0 done, 1 refused or conflict, 2 usage or invalid input, 3 platform unavailable.
+    /// Exit codes: 0 done, 1 refused or conflict, 2 usage or invalid input, 3 unavailable.
     ///
     /// Examples:
     ///   cyclamen check etc/dala/entry.ini etc/dala/document.json
     ///   cyclamen submit etc/dala/document.json --platform 10.20.9.1:9000 --expect 4
+    ///   cyclamen submit etc/dala/document.json --platform 10.20.9.1:9000 --wait --key-file key.txt
+    ///   cyclamen topup league 500000 --account league --id payment-17 --platform 10.20.9.1:9000
+    ///   cyclamen status --platform 10.20.9.1:9000 --key-file key.txt
     ///   cyclamen --json show --platform 10.20.9.1:9000
     cmd cyclamen {
         /// Prints results as JSON.
@@ -28,15 +29,42 @@
             /// The document.
             required document: PathBuf
             /// The platform's IP number and port.
-            required --platform addr: SocketAddr
+            required --platform addr: String
             /// The revision that must be in force; 0 for none.
-            optional --expect revision: Revision
+            optional --expect revision: String
+            /// Waits until the document is in force at every registered entry and at the sidecars
+            /// that they reach. Needs --key-file.
+            optional --wait
+            /// A file with the key that all processes share.
+            optional --key-file file: PathBuf
         }
 
         /// Prints the document in force.
         cmd show {
             /// The platform's IP number and port.
-            required --platform addr: SocketAddr
+            required --platform addr: String
+        }
+
+        /// Pays tokens into a budget. Repeating it with the same id pays no second time.
+        cmd topup {
+            /// The budget; it is created if it is absent.
+            required budget: String
+            /// The tokens, a whole number.
+            required tokens: String
+            /// The client account that pays.
+            required --account account: String
+            /// The id of the payment.
+            required --id id: String
+            /// The platform's IP number and port.
+            required --platform addr: String
+        }
+
+        /// Prints the state of all entries, sidecars and grants.
+        cmd status {
+            /// The platform's IP number and port.
+            required --platform addr: String
+            /// A file with the key that all processes share.
+            required --key-file file: PathBuf
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod check;
 pub mod document;
 mod flags;
+pub mod input;
 pub mod output;
 pub mod status;
+pub mod top_up;
 
 use std::ffi::OsString;
 
@@ -23,9 +25,12 @@
     };
     match flags.subcommand {
         CyclamenCmd::Check(check) => check::files(&check.file, flags.json),
-        CyclamenCmd::Submit(submit) => {
-            document::submit(&submit.document, submit.platform, submit.expect, flags.json).await
-        }
-        CyclamenCmd::Show(show) => document::show(show.platform, flags.json).await,
+        CyclamenCmd::Submit(submit) => document::submit(&submit, flags.json).await,
+        CyclamenCmd::Show(show) => match input::platform(&show.platform) {
+            Ok(addr) => document::show(addr, flags.json).await,
+            Err(error) => error.into(),
+        },
+        CyclamenCmd::Topup(topup) => top_up::pay(&topup, flags.json).await,
+        CyclamenCmd::Status(status) => status::print(&status, flags.json).await,
     }
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -13,6 +13,11 @@
 use cyc_types::{BudgetId, Incarnation, Revision, Tokens, VmId};
 use serde::Serialize;
 
+use crate::{
+    flags, input,
+    output::{Exit, Output},
+};
+
 /// How long one entry is waited for.
 const ASK_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -26,6 +31,8 @@
     pub member: Member,
     /// What it answered; `None` if it cannot be reached.
     pub status: Option<EntryStatus>,
+    /// True if the VM list has its VM. A VM that is gone is not in the list.
+    pub listed: bool,
 }
 
 /// One registered sidecar.
@@ -76,12 +83,12 @@
             .collect()
     }
 
-    /// Returns true if every registered entry and every reachable sidecar is at `revision`.
+    /// Returns true if every registered entry and every reachable sidecar is at `revision`. An
+    /// entry that is out of reach counts unless its VM is gone.
     pub fn is_in_force(&self, revision: Revision) -> bool {
-        let entries = self.entries.iter().all(|row| {
-            row.status
-                .as_ref()
-                .is_some_and(|status| status.revision >= revision)
+        let entries = self.entries.iter().all(|row| match &row.status {
+            Some(status) => status.revision >= revision,
+            None => !row.listed,
         });
         let mut sidecars = self.sidecars.iter().filter_map(|row| row.revision);
         entries && sidecars.all(|in_force| in_force >= revision)
@@ -131,27 +138,58 @@
     }
 }
 
+/// Prints the state of a deployment.
+pub async fn print(flags: &flags::Status, as_json: bool) -> Output {
+    let read = || {
+        Ok((
+            input::platform(&flags.platform)?,
+            input::key_file(&flags.key_file)?,
+        ))
+    };
+    let (addr, key) = match read() {
+        Ok(read) => read,
+        Err::<_, input::Error>(error) => return error.into(),
+    };
+    let status = match collect(&HttpPlatform::new(addr), &key).await {
+        Ok(status) => status,
+        Err(error @ Error::Platform(_)) => {
+            return Output::error(Exit::Unavailable, error.to_string());
+        }
+        Err(error) => return Output::error(Exit::Refused, error.to_string()),
+    };
+    match as_json.then(|| serde_json::to_string(&status)) {
+        None => Output::new(Exit::Ok, status.to_string()),
+        Some(Ok(json)) => Output::new(Exit::Ok, json),
+        Some(Err(error)) => Output::error(Exit::Refused, error.to_string()),
+    }
+}
+
 /// Reads the platform's objects and asks every registered entry.
 ///
 /// # Errors
 /// If the platform gives no answer; a process without an answer is listed as unreachable.
 pub async fn collect(platform: &HttpPlatform, key: &ProcessKey) -> Result<Status, Error> {
+    let vms = platform.vms().await?;
     let members = list(platform, Role::Entry).await?;
     let asked = members.into_iter().map(|member| async {
         let status = ask(member.addr, key).await;
-        EntryRow { member, status }
+        let listed = vms.iter().any(|vm| vm.id == member.vm);
+        EntryRow {
+            member,
+            status,
+            listed,
+        }
     });
     let entries = futures::future::join_all(asked).await;
     let sidecars = list(platform, Role::Sidecar).await?;
     let sidecars = sidecars.into_iter().map(|member| row_of(member, &entries));
-    let vms = platform.vms().await?;
-    let leaving = vms.into_iter().filter(|vm| vm.state == VmState::Leaving);
+    let leaving = vms.iter().filter(|vm| vm.state == VmState::Leaving);
     Ok(Status {
         accepted: accepted(platform).await?,
         sidecars: sidecars.collect(),
         entries,
         grants: grants(platform).await?,
-        leaving: leaving.map(|vm| vm.id).collect(),
+        leaving: leaving.map(|vm| vm.id.clone()).collect(),
     })
 }
 
--- /dev/null
+++ b/crates/cli/src/top_up.rs
@@ -0,0 +1,60 @@
+//! Pays tokens into a budget.
+
+use std::{net::SocketAddr, num::NonZeroU64};
+
+use cyc_budget::{Applied, Payment, SHARDS, TopUpError, top_up};
+use cyc_platform::HttpPlatform;
+use cyc_types::{BudgetId, ClientAccountId, Clock, Tokens};
+use serde_json::json;
+
+use crate::{
+    flags::Topup,
+    input,
+    output::{Exit, Output},
+};
+
+/// Counts the payment once, however often it is repeated.
+pub async fn pay(flags: &Topup, as_json: bool) -> Output {
+    let (payment, addr) = match read(flags) {
+        Ok(read) => read,
+        Err(error) => return error.into(),
+    };
+    let Payment {
+        budget, id, tokens, ..
+    } = payment.clone();
+    match top_up(&HttpPlatform::new(addr), SHARDS, payment).await {
+        Ok(applied) => {
+            let is_new = matches!(applied, Applied::Now(_));
+            if as_json {
+                let value = json!({ "budget": budget, "id": id, "tokens": tokens, "new": is_new });
+                return Output::new(Exit::Ok, value.to_string());
+            }
+            let text = match is_new {
+                true => format!("payment {id} of {tokens} tokens is counted for {budget}"),
+                false => format!("payment {id} was counted before; {budget} got nothing more"),
+            };
+            Output::new(Exit::Ok, text)
+        }
+        Err(error @ TopUpError::Refused(_)) => Output::error(Exit::Refused, error.to_string()),
+        Err(error @ TopUpError::Unconfirmed(_)) => {
+            Output::error(Exit::Unavailable, error.to_string())
+        }
+    }
+}
+
+fn read(flags: &Topup) -> Result<(Payment, SocketAddr), input::Error> {
+    let budget: BudgetId = input::id("budget", &flags.budget)?;
+    let account: ClientAccountId = input::id("--account", &flags.account)?;
+    // The id of a payment has the form of the other ids.
+    let id: BudgetId = input::id("--id", &flags.id)?;
+    let allowed = "a whole number from 1";
+    let tokens: NonZeroU64 = input::value("tokens", &flags.tokens, allowed)?;
+    let payment = Payment {
+        budget,
+        account,
+        id: id.as_str().into(),
+        tokens: Tokens::new(tokens.get()),
+        at: Clock::System.wall(),
+    };
+    Ok((payment, input::platform(&flags.platform)?))
+}
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -86,3 +86,131 @@
     expect_that!(out.exit, eq(Exit::Unavailable));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_payment_counts_once() -> googletest::Result<()> {
+    let store = Store::default();
+    let server = Server::start(platform::router(store.clone())).await?;
+    let at = server.addr().to_string();
+    let pay = |tokens: &'static str, account: &'static str| {
+        let at = at.clone();
+        async move {
+            let args = [
+                "topup",
+                "league",
+                tokens,
+                "--account",
+                account,
+                "--id",
+                "payment-1",
+                "--platform",
+                &at,
+            ];
+            cyclamen(&args).await
+        }
+    };
+    let first = pay("500", "club").await;
+    expect_that!(first.exit, eq(Exit::Ok), "{first:?}");
+    expect_that!(first.out, contains_substring("500 tokens is counted"));
+    let again = pay("500", "club").await;
+    expect_that!(again.exit, eq(Exit::Ok));
+    expect_that!(again.out, contains_substring("counted before"));
+    // The same id with another amount or account is another payment, and refused.
+    expect_that!(pay("501", "club").await.exit, eq(Exit::Refused));
+    expect_that!(pay("500", "stranger").await.exit, eq(Exit::Refused));
+    let shard = cyc_budget::shard_of(&"league".parse()?, cyc_budget::SHARDS);
+    let key = cyc_budget::shard::shard_key(shard);
+    let object = cyc_platform::Platform::get(&store, &key).await?.or_fail()?;
+    let shard: cyc_budget::Shard = serde_json::from_slice(&object.body)?;
+    let record = shard.budgets.get(&"league".parse()?).or_fail()?;
+    expect_that!(record.paid.get(), eq(500));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn bad_input_is_named_with_field_and_value() -> googletest::Result<()> {
+    let pay = |budget, tokens, account, id, at| {
+        [
+            "topup",
+            budget,
+            tokens,
+            "--account",
+            account,
+            "--id",
+            id,
+            "--platform",
+            at,
+        ]
+    };
+    let at = "127.0.0.1:1";
+    let key = ["--key-file", "no-such-key"];
+    let document = etc("dala/document.json");
+    let table: [(Vec<&str>, &str); 10] = [
+        (pay("a b", "5", "c", "p", at).into(), "budget: `a b`"),
+        (pay("b", "0", "c", "p", at).into(), "tokens: `0`"),
+        (pay("b", "-5", "c", "p", at).into(), "-5"),
+        (pay("b", "5", "c d", "p", at).into(), "--account: `c d`"),
+        (pay("b", "5", "c", "p p", at).into(), "--id: `p p`"),
+        (pay("b", "5", "c", "p", "here").into(), "--platform: `here`"),
+        (vec!["show", "--platform", "x:1"], "--platform: `x:1`"),
+        (
+            [&["status", "--platform", at], &key[..]].concat(),
+            "--key-file: `no-such-key`",
+        ),
+        (
+            vec!["submit", &document, "--platform", at, "--expect", "four"],
+            "--expect: `four`",
+        ),
+        (
+            vec!["submit", &document, "--platform", at, "--wait"],
+            "--key-file",
+        ),
+    ];
+    for (args, named) in table {
+        let out = cyclamen(&args).await;
+        expect_that!(out.exit, eq(Exit::Usage), "{args:?}");
+        expect_that!(out.err, contains_substring(named));
+        expect_that!(out.out, eq(""));
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_cannot_be_asked_is_listed_as_unreachable() -> googletest::Result<()> {
+    let store = Store::default();
+    let server = Server::start(platform::router(store.clone())).await?;
+    let free = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    for role in [cyc_member::Role::Entry, cyc_member::Role::Sidecar] {
+        let entry = cyc_member::Entry {
+            role,
+            vm: format!("vm-{role}").parse()?,
+            zone: "almaty-a".parse()?,
+            addr: free,
+            target: None,
+        };
+        cyc_member::register(&store, &entry).await?;
+    }
+    let path = std::env::temp_dir().join(format!("cyclamen-key-{}", std::process::id()));
+    std::fs::write(&path, "a-key-of-the-processes\n")?;
+    let (at, file) = (server.addr().to_string(), path.display().to_string());
+    let args = ["status", "--platform", &at, "--key-file", &file];
+    let text = cyclamen(&args).await;
+    let json = cyclamen(&[&["--json"], &args[..]].concat()).await;
+    std::fs::remove_file(path)?;
+    expect_that!(text.exit, eq(Exit::Ok), "{text:?}");
+    expect_that!(
+        text.out,
+        contains_substring(format!("entry vm-entry@1 {free} unreachable"))
+    );
+    expect_that!(
+        text.out,
+        contains_substring(format!("sidecar vm-sidecar@1 {free} unreachable"))
+    );
+    expect_that!(json.exit, eq(Exit::Ok));
+    let json: serde_json::Value = serde_json::from_str(&json.out)?;
+    expect_that!(json["entries"][0]["status"], eq(&serde_json::Value::Null));
+    Ok(())
+}
--- a/crates/quickstart/tests/e2e/config.rs
+++ b/crates/quickstart/tests/e2e/config.rs
@@ -371,3 +371,48 @@
     expect_that!(most, eq(1));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_that_waits_ends_when_the_document_is_in_force() -> Result<()> {
+    let deployment = Deployment::start(Layout::default()).await?;
+    let name =
+        |what: &str| std::env::temp_dir().join(format!("cyclamen-{}-{what}", std::process::id()));
+    let (document, key) = (name("wait.json"), name("wait.key"));
+    std::fs::write(&document, with_share(&deployment, 7)?.to_json())?;
+    std::fs::write(&key, cyc_quickstart::layout::PROCESS_KEY)?;
+    let (document, key) = (document.display().to_string(), key.display().to_string());
+    let addr = deployment.platform.addr().to_string();
+    let args = [
+        "submit",
+        &document,
+        "--platform",
+        &addr,
+        "--wait",
+        "--key-file",
+        &key,
+    ];
+    let out = cyc_cli::run(args.iter().map(Into::into).collect()).await;
+    expect_that!(out.exit, eq(Exit::Ok), "{out:?}");
+    expect_that!(out.out, eq("revision 2 is in force"));
+    // Nothing is waited for here: what the command said must be true already.
+    for slot in &deployment.entries {
+        expect_that!(revision_at(slot.addr).await, some(eq(2)));
+    }
+    let status = deployment.status().await?;
+    expect_that!(status.is_in_force(Revision::new(2)), eq(true), "{status}");
+    let args = ["status", "--platform", &addr, "--key-file", &key];
+    let out = cyc_cli::run(args.iter().map(Into::into).collect()).await;
+    expect_that!(out.exit, eq(Exit::Ok), "{out:?}");
+    for line in [
+        "accepted revision 2",
+        "entry vm-entry-0@1",
+        "sidecar vm-desk-1@1",
+    ] {
+        expect_that!(out.out, contains_substring(line));
+    }
+    expect_that!(out.out, not(contains_substring("unreachable")));
+    std::fs::remove_file(document)?;
+    std::fs::remove_file(key)?;
+    Ok(())
+}
