Reference page of the settings, generated from the table

Cause: operators had no page of all settings. Ruled out: a page by hand, which would drift from the table. Change: cyc_settings::reference::page and an example that prints it; a test compares the page. Conclusion: the page follows the table.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod error;
 mod read;
+pub mod reference;
 pub mod shared;
 pub mod sidecar;
 pub mod table;
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -326,3 +326,18 @@
     }
     Ok(())
 }
+
+#[gtest]
+fn the_reference_page_is_up_to_date() -> googletest::Result<()> {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let found = std::fs::read_to_string(path)?;
+    expect_that!(
+        found,
+        eq(&cyc_settings::reference::page()),
+        "write it again: cargo run -p cyc-settings --example settings_page > docs/SETTINGS.md"
+    );
+    for setting in SETTINGS {
+        expect_that!(found, contains_substring(format!("| `{}` |", setting.key)));
+    }
+    Ok(())
+}
