Callers that send slowly or too much cannot hold an entry

Cause: a caller that opened a connection and sent nothing held it for ever: the server waited for the first bytes, to tell HTTP versions apart, without a timeout. As many such callers as max_connections shut everybody else out. Ruled out: a timeout of our own around the connection, which would also cut long streams. Change: the server speaks HTTP/1 only, as before in effect, so that the header timeout counts from the moment of the connection. Four tests in e2e::callers. The test of a stopping entry also checks that a kept connection is closed with the refusal. Conclusion: slow headers, slow bodies, many headers and large bodies hold nothing.

--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -38,7 +38,9 @@
     max_connections: usize,
     mut stop: watch::Receiver<bool>,
 ) -> io::Result<()> {
-    let mut builder = auto::Builder::new(TokioExecutor::new());
+    // Only so does the timeout count from the first moment: to look for another version, the
+    // builder would wait for the first bytes without any limit.
+    let mut builder = auto::Builder::new(TokioExecutor::new()).http1_only();
     builder
         .http1()
         .timer(TokioTimer::new())
--- a/crates/quickstart/tests/e2e.rs
+++ b/crates/quickstart/tests/e2e.rs
@@ -3,6 +3,7 @@
 //! The programs have to be built before: `./check` does it, or `cargo build --workspace --bins`.
 
 mod e2e {
+    mod callers;
     mod claims;
     mod config;
     mod money;
--- /dev/null
+++ b/crates/quickstart/tests/e2e/callers.rs
@@ -0,0 +1,155 @@
+//! Callers that send slowly or too much: none of them can hold an entry.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cyc_quickstart::{Deployment, Layout};
+use cyc_types::{ErrorKind, Outcome};
+use googletest::prelude::*;
+use http::Method;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+
+use super::support;
+
+/// How long an entry may take to end a connection before it is taken for held.
+const HELD: Duration = Duration::from_secs(60);
+/// Connections that the entry accepts at a time in these tests.
+const CONNECTIONS: usize = 4;
+
+/// Sends `sent` on a connection of its own and returns what comes until the entry closes it.
+async fn send_raw(addr: SocketAddr, sent: String) -> Result<String> {
+    let mut stream = TcpStream::connect(addr).await?;
+    stream.write_all(sent.as_bytes()).await?;
+    let mut got = Vec::new();
+    let reading = tokio::time::timeout(HELD, stream.read_to_end(&mut got)).await;
+    // A reset closes a connection as well; what came before it counts.
+    let closed = reading.is_ok();
+    expect_that!(closed, eq(true), "held by {:?}", sent.get(..60));
+    Ok(String::from_utf8_lossy(&got).into_owned())
+}
+
+fn head(path: &str, more: &str) -> String {
+    let key = cyc_quickstart::layout::api_key("league");
+    format!("POST {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {key}\r\n{more}")
+}
+
+const BOOKINGS: &str = "/v1/services/hire-desk/bookings";
+const CHAT: &str = "/v1/chat/completions";
+
+async fn start() -> Result<Deployment> {
+    let layout = Layout {
+        engines: 1,
+        desks: 1,
+        entries: 1,
+        ..Layout::default()
+    };
+    let connections = format!("max_connections = {CONNECTIONS}");
+    let layout = layout
+        .with_entry_setting("limits", connections)
+        .with_entry_setting("limits", "max_body_bytes = 2000")
+        .with_entry_setting("limits", "booking_slots = 1")
+        .with_entry_setting("limits", "drafting_slots = 1");
+    let deployment = Deployment::start(layout).await?;
+    deployment.top_up("league", "payment-1", 100_000).await?;
+    Ok(deployment)
+}
+
+/// Every connection is taken by a slow caller; they must be closed for another to be served.
+async fn expect_freed(deployment: &Deployment, sent: Vec<String>) -> Result<Vec<String>> {
+    let addr = deployment.entries[0].addr;
+    let slow = sent.into_iter().map(|sent| send_raw(addr, sent));
+    let got = futures::future::join_all(slow).await;
+    let got = got.into_iter().collect::<Result<Vec<String>>>()?;
+    let caller = deployment.caller(0, "league");
+    let reply = tokio::time::timeout(HELD, caller.status("kit-7", &[])).await??;
+    expect_that!(reply.complete, eq(true), "{reply:?}");
+    let booked = tokio::time::timeout(HELD, caller.book("after", "kit-7")).await??;
+    expect_that!(booked.complete, eq(true), "{booked:?}");
+    expect_that!(support::desk_runs(deployment).await?, eq(2));
+    Ok(got)
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_headers_do_not_hold_connections() -> Result<()> {
+    let deployment = start().await?;
+    let sent = (0..CONNECTIONS).map(|n| match n {
+        // One that says nothing at all.
+        0 => String::new(),
+        _ => head(BOOKINGS, "x-slow: "),
+    });
+    expect_freed(&deployment, sent.collect()).await?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_bodies_hold_neither_connections_nor_slots() -> Result<()> {
+    let deployment = start().await?;
+    let sent = (0..CONNECTIONS).map(|n| {
+        let path = if n % 2 == 0 { BOOKINGS } else { CHAT };
+        let more = format!("idempotency-key: slow-{n}\r\ncontent-length: 100\r\n\r\n{{");
+        head(path, &more)
+    });
+    for got in expect_freed(&deployment, sent.collect()).await? {
+        expect_that!(got, starts_with("HTTP/1.1 400"));
+        expect_that!(got, contains_substring("\"outcome\":\"not_run\""));
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn too_many_headers_are_refused() -> Result<()> {
+    let deployment = start().await?;
+    let many: String = (0..200).map(|n| format!("x-{n}: 1\r\n")).collect();
+    let long = format!("x-long: {}\r\n", "y".repeat(2_000_000));
+    let sent = [many, long].map(|more| head(BOOKINGS, &format!("{more}\r\n")));
+    for sent in sent {
+        let got = send_or_reset(deployment.entries[0].addr, sent).await?;
+        let refused = got.is_empty() || got.starts_with("HTTP/1.1 431");
+        expect_that!(refused, eq(true), "{got}");
+    }
+    expect_freed(&deployment, Vec::new()).await?;
+    Ok(())
+}
+
+/// As [`send_raw`], for more than an entry reads: it may close the connection before all is sent.
+async fn send_or_reset(addr: SocketAddr, sent: String) -> Result<String> {
+    let (mut read, mut write) = TcpStream::connect(addr).await?.into_split();
+    let writing = tokio::spawn(async move {
+        write.write_all(sent.as_bytes()).await.ok();
+        write
+    });
+    let mut got = Vec::new();
+    let reading = tokio::time::timeout(HELD, read.read_to_end(&mut got)).await;
+    expect_that!(reading.is_ok(), eq(true), "held");
+    drop(writing.await?);
+    Ok(String::from_utf8_lossy(&got).into_owned())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_are_too_large_are_refused_as_not_run() -> Result<()> {
+    let deployment = start().await?;
+    let caller = deployment.caller(0, "league");
+    let body = format!("{{\"kit\":\"{}\"}}", "k".repeat(2_000));
+    for path in [BOOKINGS, CHAT] {
+        let headers = [("idempotency-key", "large")];
+        let answer = caller.send(Method::POST, path, &headers, &body).await?;
+        let problem: serde_json::Value = answer.json()?;
+        let kind = <&str>::from(ErrorKind::TooLarge);
+        expect_that!(problem["kind"].as_str(), some(eq(kind)));
+        let outcome = <&str>::from(Outcome::NotRun);
+        expect_that!(problem["outcome"].as_str(), some(eq(outcome)));
+    }
+    // A body in chunks names no length before.
+    let chunk = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+    let more = "idempotency-key: large\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n";
+    let got = send_or_reset(deployment.entries[0].addr, head(BOOKINGS, more) + &chunk).await?;
+    expect_that!(got, starts_with("HTTP/1.1 413"));
+    expect_freed(&deployment, Vec::new()).await?;
+    Ok(())
+}
--- a/crates/quickstart/tests/e2e/stops.rs
+++ b/crates/quickstart/tests/e2e/stops.rs
@@ -1,13 +1,13 @@
 //! Planned stops, leaving targets and restarts.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use cyc_platform::{Vm, VmState};
 use cyc_proto::peer::EntryStatus;
 use cyc_quickstart::{
     Deployment, Layout, TargetKind,
     deploy::wait_until,
-    layout::{BOOKING_PRICE, STATUS_PRICE},
+    layout::{self, BOOKING_PRICE, STATUS_PRICE},
     load::{Ask, Load, Tally},
 };
 use cyc_standin::{client::Client, engine::expected_text, process::Signal};
@@ -15,6 +15,10 @@
 use googletest::prelude::*;
 use http::Method;
 use serde_json::Value;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 
 use super::support;
 
@@ -132,6 +136,21 @@
     expect_that!(reply.text, eq(&text));
 }
 
+/// Sends a request without asking for the end of the connection; returns what comes until the
+/// entry ends it.
+async fn refused_on_a_kept_connection(addr: SocketAddr) -> Result<String> {
+    let key = layout::api_key("league");
+    let mut stream = TcpStream::connect(addr).await?;
+    let req = format!(
+        "GET /v1/services/hire-desk/kits/kit-7 HTTP/1.1\r\nhost: entry\r\n\
+         authorization: Bearer {key}\r\n\r\n"
+    );
+    stream.write_all(req.as_bytes()).await?;
+    let mut got = String::new();
+    stream.read_to_string(&mut got).await?;
+    Ok(got)
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_stops_finishes_its_stream_and_returns_its_grants() -> Result<()> {
@@ -149,6 +168,9 @@
     let refused = deployment.caller(0, "league").status("kit-7", &[]).await?;
     expect_that!(refused.kind(), some(eq(ErrorKind::Draining)));
     expect_that!(refused.outcome(), some(eq(Outcome::NotRun)));
+    let kept = refused_on_a_kept_connection(deployment.entries[0].addr).await?;
+    expect_that!(kept, contains_substring("connection: close"));
+    expect_that!(kept, contains_substring("\"kind\":\"draining\""));
     let elsewhere = deployment.caller(1, "league").status("kit-7", &[]).await?;
     expect_that!(elsewhere.complete, eq(true));
     expect_that!(draft.is_finished(), eq(false), "the draft was too short");
