--- a/crates/budget/tests/budget/keeper.rs
+++ b/crates/budget/tests/budget/keeper.rs
@@ -206,3 +206,24 @@
     expect_that!(reserved, ok(anything()));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_request_after_an_outage_does_not_wait_for_a_late_retry() -> Result<()> {
+    // More than the bound of a retry that a request waits for, less than that of any other.
+    let wait = Millis::new(300);
+    for round in 0..20 {
+        let fake = Arc::new(Fake::default());
+        pay(&fake, "first", 100).await?;
+        let (purse, _task) = start(&fake, 1);
+        fake.set_out(true);
+        let refused = purse.reserve(&budget(), tokens(60), PATIENCE).await;
+        let kind = refused.err().map(|refusal| refusal.kind);
+        expect_that!(kind, some(eq(ErrorKind::BudgetUnreachable)), "{round}");
+        tokio::time::sleep(PATIENCE.duration()).await;
+        fake.set_out(false);
+        let reserved = purse.reserve(&budget(), tokens(60), wait).await;
+        expect_that!(reserved, ok(anything()), "{round}");
+    }
+    Ok(())
+}
