Hold a grant whose receipts may have died with a sidecar

Cause: when an entry and a sidecar died together, the sidecar's successor handed over no receipts and the whole grant came back, although the run had used tokens. Ruled out: holding every grant after any death of a sidecar; entries that live hear of the new incarnation by heartbeat and settle their own doubts. Unresolved grants are logged on change. Conclusion: a bill that cannot be known is never counted as free tokens.

--- a/crates/entry/src/control/reclaim.rs
+++ b/crates/entry/src/control/reclaim.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use cyc_config::store;
 use cyc_ledger::{
-    Reclaimer, Sidecars,
+    Reclaimer, Sidecars, Unresolved,
     reclaim::{Options, Outcome},
 };
 use cyc_member::fence;
@@ -37,6 +37,7 @@
     let mut reclaimer =
         Reclaimer::new(platform.clone(), purse, Arc::new(sidecars), clock).with_options(options);
     let mut duty = Duty::new("reclaim");
+    let mut unresolved = Vec::new();
     let mut interval = tokio::time::interval(RECLAIM_INTERVAL.duration());
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -46,7 +47,13 @@
             continue;
         }
         match reclaimer.round().await {
-            Ok(outcome) => finish(&app, outcome).await,
+            Ok(outcome) => {
+                if outcome.unresolved != unresolved {
+                    unresolved.clone_from(&outcome.unresolved);
+                    log_unresolved(&unresolved);
+                }
+                finish(&app, outcome).await;
+            }
             Err(error) => {
                 spdlog::debug!("reclaim_round_failed", kv: { error:? = error.to_string() });
             }
@@ -75,7 +82,11 @@
             tokens:? = tokens.get(),
         });
     }
-    for left in &outcome.unresolved {
+    release(app, outcome.released).await;
+}
+
+fn log_unresolved(unresolved: &[Unresolved]) {
+    for left in unresolved {
         spdlog::warn!("grant_unresolved", kv: {
             budget:? = left.grant.budget.as_str(),
             holder:? = left.grant.holder.to_string(),
@@ -83,7 +94,6 @@
             reason:? = left.reason.to_string(),
         });
     }
-    release(app, outcome.released).await;
 }
 
 /// Tells all sidecars to drop receipts that the ledger has; whoever has none of them ignores it.
--- a/crates/quickstart/tests/e2e/money.rs
+++ b/crates/quickstart/tests/e2e/money.rs
@@ -1,17 +1,21 @@
 //! Money under faults: the store, the entries and the sidecars fail while requests are billed.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use cyc_budget::{Record, SHARDS, Shard, shard::shard_key, shard_of};
 use cyc_platform::Platform as _;
+use cyc_proto::{Link, ProcessKey, peer::PeerClient as _};
 use cyc_quickstart::{
     Deployment, Error, Layout,
     caller::{Caller, Reply},
     deploy::wait_until,
-    layout::{BOOKING_PRICE, STATUS_PRICE},
+    layout::{BOOKING_PRICE, PROCESS_KEY, STATUS_PRICE},
 };
 use cyc_standin::{
     client::Client,
@@ -435,3 +439,110 @@
     support::wait_billed(&deployment, "league", 200).await?;
     watch.finish("last tokens").await
 }
+
+/// Returns the addresses at which entries serve peers.
+async fn peer_addrs(deployment: &Deployment) -> Result<Vec<SocketAddr>> {
+    let platform = deployment.platform_client();
+    let members = cyc_member::list(&platform, cyc_member::Role::Entry).await;
+    let members = members.map_err(|error| Error::Refused(error.to_string()))?;
+    Ok(members.iter().map(|member| member.addr).collect())
+}
+
+/// Waits until all entries have had a heartbeat answered by these incarnations of the engines'
+/// sidecars.
+async fn wait_heard(deployment: &Deployment, number: u64) -> Result<()> {
+    for addr in peer_addrs(deployment).await? {
+        let link = Link::new(addr, ProcessKey::new(PROCESS_KEY));
+        wait_until("the entry hears the sidecars", || async {
+            let Ok(client) = link.client().await else {
+                return false;
+            };
+            let Ok(status) = client.status().await else {
+                return false;
+            };
+            let mut sidecars = status.sidecars.iter();
+            sidecars.all(|one| {
+                let known = one.sidecar.as_ref().map(|sidecar| sidecar.number);
+                !one.target.as_str().starts_with("engine") || known == Some(number)
+            })
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// Kills the sidecars of all engines and waits for their ends.
+async fn kill_engine_sidecars(deployment: &mut Deployment) -> Result<()> {
+    for index in 0..deployment.layout.engines {
+        deployment.signal_sidecar(index, Signal::Kill)?;
+        end_of(deployment.targets[index].sidecar.take().or_fail()?).await?;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_an_entry_and_a_sidecar_knew_alone_is_listed_as_unresolved() -> Result<()> {
+    let layout = Layout::default()
+        .with_entry_setting("budget", "policy = equal")
+        .with_entry_setting("budget", "idle_ms = 600000")
+        .with_engine_arg("--token-ms")
+        .with_engine_arg("5");
+    let mut deployment = Deployment::start(layout).await?;
+    deployment.top_up("league", "first", 10_000).await?;
+    deployment.top_up("club", "first", 10_000).await?;
+    let watch = Watch::start(&deployment, "league")?;
+
+    // The sidecars die alone: the entry hears of it, and all it holds comes back when it dies.
+    let caller = deployment.caller(0, "club");
+    let reply = caller.chat("A pack.", 20, true, &[]).await?;
+    support::wait_billed(&deployment, "club", reply.used).await?;
+    kill_engine_sidecars(&mut deployment).await?;
+    for index in 0..deployment.layout.engines {
+        deployment.restart_sidecar(index).await?;
+    }
+    wait_heard(&deployment, 2).await?;
+    kill_entry(&mut deployment, 0).await?;
+    deployment.restart_entry(0).await?;
+    deployment.wait_ready().await?;
+    wait_reclaimed(&deployment, "club", "vm-entry-0", 2).await?;
+    let club = support::record(&deployment, "club").await?;
+    expect_that!(club.settled.get(), eq(reply.used));
+
+    // Both die in the middle of a run.
+    let caller = deployment.caller(0, "league");
+    let running = tokio::spawn(async move { caller.chat("A pack.", 400, true, &[]).await });
+    wait_until("the entry holds tokens", || async {
+        let record = support::record(&deployment, "league").await;
+        record.is_ok_and(|record| !record.granted().is_zero())
+    })
+    .await?;
+    wait_generated(&deployment, 40).await?;
+    kill_entry(&mut deployment, 0).await?;
+    kill_engine_sidecars(&mut deployment).await?;
+    running.await?.ok();
+    let held = support::record(&deployment, "league").await?.granted();
+    for index in 0..deployment.layout.engines {
+        deployment.restart_sidecar(index).await?;
+    }
+    deployment.restart_entry(0).await?;
+    deployment.wait_ready().await?;
+    wait_until("the tokens are listed as unresolved", || async {
+        let report = support::spend(&deployment).await.ok();
+        let account = report.and_then(|r| r.accounts.get(&"league".parse().ok()?).cloned());
+        account.is_some_and(|account| account.balance.unresolved == held)
+    })
+    .await?;
+    wait_heard(&deployment, 3).await?;
+    // Rounds of reclaim go on, as another grant shows, and the tokens stay listed.
+    let other = deployment.caller(0, "club");
+    expect_that!(burst(&[other], 1, "club").await?.served, eq(1));
+    kill_entry(&mut deployment, 0).await?;
+    deployment.restart_entry(0).await?;
+    deployment.wait_ready().await?;
+    wait_reclaimed(&deployment, "club", "vm-entry-0", 4).await?;
+    let record = support::record(&deployment, "league").await?;
+    expect_that!(record.granted(), eq(held));
+    expect_that!(record.settled.get(), eq(0));
+    watch.finish("both killed").await
+}
