--- a/crates/ledger/src/evidence.rs
+++ b/crates/ledger/src/evidence.rs
@@ -26,8 +26,6 @@
     Running(RequestId),
     /// An entry that is not fenced here has still to settle a receipt.
     Unsettled(Incarnation),
-    /// A sidecar ended with receipts that it may not have handed over; this is its successor.
-    Lost(Incarnation),
     /// The evidence shows more use than the grant holds.
     Overspent,
     /// The shard changed since the evidence was read.
@@ -40,7 +38,6 @@
             Self::Silent(target) => write!(f, "the sidecar of {target} cannot be asked"),
             Self::Running(request) => write!(f, "request {request} is still running"),
             Self::Unsettled(entry) => write!(f, "{entry} has not settled a receipt yet"),
-            Self::Lost(sidecar) => write!(f, "receipts from before {sidecar} may be lost"),
             Self::Overspent => f.write_str("the receipts are more than the grant"),
             Self::Changed => f.write_str("the shard changed meanwhile"),
         }
@@ -161,10 +158,6 @@
     if let Some(run) = runs.find(|run| run.grant == *grant) {
         return Some(Reason::Running(run.request));
     }
-    let mut replies = evidence.replies.iter();
-    if let Some(reply) = replies.find(|reply| reply.unheard.contains(&grant.holder)) {
-        return Some(Reason::Lost(reply.sidecar.clone()));
-    }
     let foreign = receipts(evidence)
         .find(|receipt| receipt.grant == *grant && !is_below(lowest, &receipt.entry));
     foreign.map(|receipt| Reason::Unsettled(receipt.entry.clone()))
--- a/crates/ledger/tests/ledger/reclaim.rs
+++ b/crates/ledger/tests/ledger/reclaim.rs
@@ -32,7 +32,6 @@
 struct State {
     receipts: Vec<Receipt>,
     running: Vec<RunningHold>,
-    unheard: Vec<Incarnation>,
     silent: bool,
 }
 
@@ -57,13 +56,11 @@
             sidecar: entry(1),
             receipts: state.receipts.clone(),
             running: state.running.clone(),
-            unheard: state.unheard.clone(),
         };
         let empty = FenceReply {
             sidecar: entry(1),
             receipts: Vec::new(),
             running: Vec::new(),
-            unheard: Vec::new(),
         };
         let second = match state.silent {
             true => Err(LinkError::NotSent("silent".into())),
@@ -274,29 +271,23 @@
         reserved: Tokens::new(5),
     };
     let mut reclaimer = world.reclaimer(world.fake.clone(), 8);
-    let set = |silent, running: Vec<RunningHold>, unheard: Vec<Incarnation>| {
+    let set = |silent, running: Vec<RunningHold>| {
         let mut state = world.sidecars.0.lock().unwrap();
-        (state.silent, state.running, state.unheard) = (silent, running, unheard);
+        (state.silent, state.running) = (silent, running);
     };
     let cases = [
-        (true, vec![], vec![], Reason::Silent("engine-2".parse()?)),
-        (
-            false,
-            vec![hold],
-            vec![],
-            Reason::Running(RequestId::new(9)),
-        ),
-        (false, vec![], vec![entry(1)], Reason::Lost(entry(1))),
+        (true, vec![], Reason::Silent("engine-2".parse()?)),
+        (false, vec![hold], Reason::Running(RequestId::new(9))),
     ];
-    for (silent, running, unheard, reason) in cases {
-        set(silent, running, unheard);
+    for (silent, running, reason) in cases {
+        set(silent, running);
         let outcome = reclaimer.round().await?;
         expect_that!(outcome.reclaimed, is_empty());
         let reasons: Vec<_> = outcome.unresolved.into_iter().map(|u| u.reason).collect();
         expect_that!(reasons, eq(&vec![reason]));
         expect_that!(record(&world.fake).grants.len(), eq(1));
     }
-    set(false, vec![], vec![]);
+    set(false, vec![]);
     let outcome = reclaimer.round().await?;
     let reclaimed = vec![(grant(1), Tokens::new(463))];
     expect_that!(outcome.reclaimed, eq(&reclaimed));
@@ -313,7 +304,6 @@
         sidecar: entry(1),
         receipts: vec![foreign],
         running: Vec::new(),
-        unheard: Vec::new(),
     };
     let evidence = Evidence {
         replies: vec![reply],
--- a/crates/member/src/registry.rs
+++ b/crates/member/src/registry.rs
@@ -71,9 +71,6 @@
     pub zone: AvailabilityZone,
     /// Its target, for a sidecar.
     pub target: Option<TargetId>,
-    /// True if the process has ended and left nothing that only it knew.
-    #[serde(default)]
-    pub clean: bool,
 }
 
 impl Member {
@@ -157,34 +154,6 @@
     }
 }
 
-/// Notes that an incarnation has ended and left nothing that only it knew.
-///
-/// # Errors
-/// [`PlatformError::Conflict`] if another incarnation has registered; any error leaves it
-/// unmarked, which is safe.
-pub async fn mark_clean(
-    platform: &dyn Platform,
-    role: Role,
-    incarnation: &Incarnation,
-) -> Result<(), Error> {
-    let key = key(role, &incarnation.vm);
-    let Some(object) = platform.get(&key).await? else {
-        return Err(PlatformError::Conflict.into());
-    };
-    let mut member = decode(&object)?;
-    if member.incarnation() != *incarnation {
-        return Err(PlatformError::Conflict.into());
-    }
-    member.clean = true;
-    let body = serde_json::to_vec(&member).map_err(|e| Error::Malformed {
-        key: key.clone(),
-        why: e.to_string(),
-    })?;
-    let expect = Expect::Version(object.version);
-    platform.put(&key, body.into(), expect).await?;
-    Ok(())
-}
-
 /// Makes one attempt; `None` if another write came first.
 async fn try_register(
     platform: &dyn Platform,
@@ -211,7 +180,6 @@
         addr: entry.addr,
         zone: entry.zone.clone(),
         target: entry.target.clone(),
-        clean: false,
     };
     let body = serde_json::to_vec(&member).map_err(|e| Error::Malformed {
         key: key.clone(),
--- a/crates/proto/src/sidecar.rs
+++ b/crates/proto/src/sidecar.rs
@@ -236,10 +236,6 @@
     pub receipts: Vec<Receipt>,
     /// Runs that go on, with their grants and reservations.
     pub running: Vec<RunningHold>,
-    /// Fenced incarnations of which an earlier incarnation of this sidecar may have had receipts
-    /// that are lost: it did not end cleanly, and they have not heard of its end.
-    #[serde(default)]
-    pub unheard: Vec<Incarnation>,
 }
 
 /// A reservation of a run that has not ended.
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -3,12 +3,12 @@
 use std::{fmt, io, sync::Arc};
 
 use cyc_claim::{Committer, commit};
-use cyc_member::{Backoff, Entry as MemberEntry, Role, fence, register, registry};
+use cyc_member::{Backoff, Entry as MemberEntry, Role, fence, register};
 use cyc_platform::{HttpPlatform, Platform};
 use cyc_proto::{ProcessKey, bind, serve, sidecar::SidecarServer as _};
 use cyc_route::{Pools, pool};
 use cyc_settings::{SidecarSettings, TargetKind};
-use cyc_types::{Clock, Incarnation, Millis, VmId};
+use cyc_types::{Clock, Incarnation, Millis};
 
 use crate::{
     admission::{Options, Sidecar},
@@ -68,7 +68,6 @@
         addr,
         target: Some(settings.target_id.clone()),
     };
-    let was_clean = read_clean(platform.as_ref(), &member.vm).await;
     let me = register(platform.as_ref(), &member)
         .await
         .map_err(Error::Register)?;
@@ -78,11 +77,6 @@
     sidecar
         .table()
         .learn_fences(&read_fences(platform.as_ref()).await);
-    if !was_clean {
-        sidecar
-            .table()
-            .bereave(&read_entries(platform.as_ref()).await);
-    }
     spdlog::info!("event=started sidecar={me} addr={addr}");
 
     let key = ProcessKey::new(settings.access.process_key.as_str());
@@ -97,12 +91,6 @@
     cyc_obs::shutdown().await?;
     shut_down(&sidecar, settings.process.drain_limit).await;
     server.stop().ok();
-    if sidecar.table().is_clean() {
-        let marked = registry::mark_clean(platform.as_ref(), Role::Sidecar, &me);
-        if let Err(error) = marked.await {
-            spdlog::warn!("not_marked_clean", kv: { error:? = error.to_string() });
-        }
-    }
     Ok(())
 }
 
@@ -132,33 +120,6 @@
     })
 }
 
-/// Returns true if no incarnation on this VM ended before with receipts that may be lost.
-async fn read_clean(platform: &dyn Platform, vm: &VmId) -> bool {
-    let mut backoff = Backoff::new(Millis::new(50), Millis::new(2_000));
-    loop {
-        match registry::find(platform, Role::Sidecar, vm).await {
-            Ok(member) => return member.is_none_or(|member| member.clean),
-            // The registration that follows reports the fault.
-            Err(cyc_member::Error::Malformed { .. }) => return false,
-            Err(cyc_member::Error::Platform(_)) => backoff.wait().await,
-        }
-    }
-}
-
-/// Reads the entries that are registered, trying again for as long as there is no answer.
-async fn read_entries(platform: &dyn Platform) -> Vec<Incarnation> {
-    let mut backoff = Backoff::new(Millis::new(50), Millis::new(2_000));
-    loop {
-        match registry::list(platform, Role::Entry).await {
-            Ok(members) => return members.iter().map(|member| member.incarnation()).collect(),
-            Err(error) => {
-                spdlog::warn!("entries_not_read", kv: { error:? = error.to_string() });
-            }
-        }
-        backoff.wait().await;
-    }
-}
-
 /// Reads the fences, trying again for as long as the platform gives no answer.
 async fn read_fences(platform: &dyn Platform) -> Vec<Incarnation> {
     let mut backoff = Backoff::new(Millis::new(50), Millis::new(2_000));
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -109,7 +109,6 @@
         if req.leaving {
             sidecar.table().drain();
         }
-        sidecar.table().hear(&req.entry);
         Ok(HeartbeatReply {
             sidecar: sidecar.me().clone(),
             target: sidecar.target_id().clone(),
--- a/crates/sidecar/src/table.rs
+++ b/crates/sidecar/src/table.rs
@@ -89,14 +89,6 @@
     /// Receipts that the ledger may not have, by request and the entry that started the run.
     unreleased: BTreeMap<(RequestId, Incarnation), Receipt>,
     draining: bool,
-    /// The entries that were registered when this incarnation started, if its predecessor did not
-    /// end cleanly.
-    bereaved: BTreeMap<VmId, u64>,
-    /// Entries that have sent a heartbeat to this incarnation, and so know that its predecessor
-    /// is gone.
-    heard: HashSet<Incarnation>,
-    /// True if a fence met an entry that has not heard.
-    was_unheard: bool,
 }
 
 /// The memory of one sidecar, behind one lock.
@@ -279,46 +271,13 @@
                 reserved: run.req.reserved,
             })
             .collect();
-        let known = state.bereaved.get(&lowest.vm).copied().unwrap_or_default();
-        let unheard: Vec<Incarnation> = (1..number)
-            .take_while(|number| *number <= known)
-            .map(|number| Incarnation::new(lowest.vm.clone(), number))
-            .filter(|one| !state.heard.contains(one))
-            .collect();
-        state.was_unheard |= !unheard.is_empty();
         FenceReply {
             sidecar: sidecar.clone(),
             receipts,
             running,
-            unheard,
         }
     }
 
-    /// Notes the entries that were registered when this incarnation took over from one that did
-    /// not end cleanly.
-    pub fn bereave(&self, entries: &[Incarnation]) {
-        let known = entries.iter().map(|one| (one.vm.clone(), one.number));
-        self.state().bereaved.extend(known);
-    }
-
-    /// Notes a heartbeat of an entry.
-    pub fn hear(&self, entry: &Incarnation) {
-        let mut state = self.state();
-        if !state.bereaved.is_empty() && !state.heard.contains(entry) {
-            state.heard.insert(entry.clone());
-        }
-    }
-
-    /// Returns true if no receipts are lost when this incarnation ends now.
-    pub fn is_clean(&self) -> bool {
-        let state = self.state();
-        let all_heard = state
-            .bereaved
-            .iter()
-            .all(|(vm, number)| state.heard.contains(&Incarnation::new(vm.clone(), *number)));
-        state.unreleased.is_empty() && all_heard && !state.was_unheard
-    }
-
     /// Takes over fences known elsewhere.
     pub fn learn_fences(&self, fences: &[Incarnation]) {
         let mut state = self.state();
