--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -2,6 +2,11 @@
 
 use std::path::PathBuf;
 
+use cyc_ledger::month::Month;
+use cyc_types::ClientAccountId;
+
+use crate::burn::Window;
+
 xflags::xflags! {
     /// The operators' command of cyclamenlead.
     ///
@@ -14,6 +19,8 @@
     ///   cyclamen topup league 500000 --account league --id payment-17 --platform 10.20.9.1:9000
     ///   cyclamen status --platform 10.20.9.1:9000 --key-file key.txt
     ///   cyclamen --json show --platform 10.20.9.1:9000
+    ///   cyclamen spend --platform 10.20.9.1:9000 --account league --month 2026-12
+    ///   cyclamen burn --platform 10.20.9.1:9000 --window 6h --plot burn.svg
     cmd cyclamen {
         /// Prints results as JSON.
         optional --json
@@ -39,6 +46,26 @@
             optional --key-file file: PathBuf
         }
 
+        /// Prints what each account paid, what was billed and what was refused.
+        cmd spend {
+            /// The platform's IP number and port.
+            required --platform addr: String
+            /// Only this client account.
+            optional --account account: ClientAccountId
+            /// Only this month, in UTC. The balance is always that of now.
+            optional --month month: Month
+        }
+
+        /// Prints service levels, error budgets and burn rates.
+        cmd burn {
+            /// The platform's IP number and port.
+            required --platform addr: String
+            /// The window of totals and error budgets, as in 30m, 6h, 7d; else the objectives'.
+            optional --window window: Window
+            /// Writes the burn rates over time to this file, as SVG.
+            optional --plot file: PathBuf
+        }
+
         /// Prints the document in force.
         cmd show {
             /// The platform's IP number and port.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,11 +3,13 @@
 //! Results go to standard output, errors to standard error; the exit code says which kind of
 //! error it was ([`Exit`]).
 
+pub mod burn;
 pub mod check;
 pub mod document;
 mod flags;
 pub mod input;
 pub mod output;
+pub mod spend;
 pub mod status;
 pub mod top_up;
 
@@ -32,5 +34,19 @@
         },
         CyclamenCmd::Topup(topup) => top_up::pay(&topup, flags.json).await,
         CyclamenCmd::Status(status) => status::print(&status, flags.json).await,
+        CyclamenCmd::Spend(flag) => {
+            let options = spend::Options {
+                account: flag.account,
+                month: flag.month,
+            };
+            match input::platform(&flag.platform) {
+                Ok(addr) => spend::spend(addr, &options, flags.json).await,
+                Err(error) => error.into(),
+            }
+        }
+        CyclamenCmd::Burn(flag) => match input::platform(&flag.platform) {
+            Ok(addr) => burn::burn(addr, flag.window, flag.plot, flags.json).await,
+            Err(error) => error.into(),
+        },
     }
 }
