--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -310,10 +310,11 @@
     }
 
     /// Returns the targets, in the order of rendezvous hashing, at which a retry of the request
-    /// finds it.
+    /// finds it. The choice may go beyond the first candidates when those are full or ejected, so
+    /// twice as many are looked at.
     pub fn candidates(&self, ask: &Ask<'_>) -> Vec<Arc<Sidecar>> {
         let rows = self.lock();
-        let count = self.options.candidates;
+        let count = self.options.candidates.saturating_mul(2);
         let found = candidates(&rows.targets, ask.service, ask.model, ask.key, count);
         found
             .into_iter()
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -11,6 +11,7 @@
 use cyc_proto::sidecar::{CancelRequest, FindRequest, Frame, RunRequest, SidecarClient as _};
 use cyc_route::{Failure, Permit};
 use cyc_types::{ErrorKind, Incarnation, Millis, Outcome as Ran, Refusal, RequestId, TargetId};
+use futures::{StreamExt as _, stream::FuturesUnordered};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -165,7 +166,7 @@
             return None;
         }
         let request = self.job.request;
-        let asked = self
+        let mut asked: FuturesUnordered<_> = self
             .app
             .candidates(&self.job)
             .into_iter()
@@ -176,10 +177,20 @@
                     .await
                     .ok()?
                     .then_some(sidecar)
-            });
-        let all = futures::future::join_all(asked);
-        let found = tokio::time::timeout(FIND_WAIT.duration(), all).await.ok()?;
-        found.into_iter().flatten().next()
+            })
+            .collect();
+        // The first that has it is enough: one that gives no answer must not hide it.
+        let first = async {
+            while let Some(found) = asked.next().await {
+                if found.is_some() {
+                    return found;
+                }
+            }
+            None
+        };
+        tokio::time::timeout(FIND_WAIT.duration(), first)
+            .await
+            .ok()?
     }
 
     async fn attempt(&mut self, sidecar: Arc<Sidecar>) -> Step {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -38,6 +38,8 @@
     request: RequestId,
     /// Number of the next frame. Invariant: all frames below it were returned once, in order.
     next: u64,
+    /// The run that the frames came from; `None` before the first.
+    run: Option<u64>,
     subscription: Option<Subscription<Chunk>>,
 }
 
@@ -47,6 +49,7 @@
         Self {
             request,
             next: 0,
+            run: None,
             subscription: None,
         }
     }
@@ -70,7 +73,7 @@
                 continue;
             };
             match subscription.next().await {
-                Some(Ok(chunk)) => match self.accept(chunk) {
+                Some(Ok(chunk)) => match self.accept(chunk)? {
                     Some(frames) if !frames.is_empty() => return Ok(frames),
                     Some(_) => {}
                     None => self.subscription = None,
@@ -103,14 +106,21 @@
 
     /// Takes the frames that were not read yet; `None` if some are missing before them or they
     /// belong to another request.
-    fn accept(&mut self, chunk: Chunk) -> Option<Vec<Frame>> {
+    ///
+    /// # Errors
+    /// [`Error::Gone`] if they belong to a later run of the request: what was read so far has no
+    /// continuation.
+    pub fn accept(&mut self, chunk: Chunk) -> Result<Option<Vec<Frame>>, Error> {
         if chunk.request != self.request || chunk.first > self.next {
-            return None;
+            return Ok(None);
+        }
+        if *self.run.get_or_insert(chunk.run) != chunk.run {
+            return Err(Error::Gone);
         }
         let known = usize::try_from(self.next - chunk.first).unwrap_or(usize::MAX);
         let frames: Vec<Frame> = chunk.frames.into_iter().skip(known).collect();
         self.next += frames.len() as u64;
-        Some(frames)
+        Ok(Some(frames))
     }
 }
 
--- a/crates/proto/src/sidecar.rs
+++ b/crates/proto/src/sidecar.rs
@@ -164,6 +164,10 @@
 pub struct Chunk {
     /// The request that the frames belong to.
     pub request: RequestId,
+    /// Number of the run within the sidecar. A request that failed may run again there; the
+    /// frames of two runs are never put together.
+    #[serde(default)]
+    pub run: u64,
     /// Sequence number of the first frame.
     pub first: u64,
     /// The frames, in order, without gaps.
--- /dev/null
+++ b/crates/quickstart/tests/e2e/claims/booking.rs
@@ -0,0 +1,223 @@
+//! Bookings while sidecars, entries and the store fail: at most one run, and nobody is told
+//! otherwise.
+
+use cyc_quickstart::{
+    Layout,
+    deploy::wait_until,
+    layout::{BOOKING_PRICE, TargetKind},
+};
+use cyc_standin::process::Signal;
+use cyc_types::{ErrorKind, Outcome};
+use googletest::prelude::*;
+use serde_json::json;
+
+use super::{
+    super::support::wait_billed,
+    support::{self, ACCOUNT, book, book_body, runs, set_all, set_platform, wait_started},
+};
+
+const LONG_MS: u64 = 30_000;
+
+#[gtest]
+#[tokio::test]
+async fn a_sidecar_killed_in_a_booking_leaves_it_unknown_and_run_once() -> Result<()> {
+    for (name, faults) in [
+        ("slow", json!({ "slow": 300 })),
+        ("hang", json!({ "hang": true })),
+    ] {
+        let mut deployment = support::start(support::desks_only()).await?;
+        set_all(&deployment, TargetKind::Desk, &faults).await?;
+        let first = book(&deployment, 0, "friday", LONG_MS);
+        let kill = async {
+            let index = wait_started(&deployment, "friday").await?;
+            deployment.signal_sidecar(index, Signal::Kill)?;
+            support::Result::Ok(index)
+        };
+        let (first, index) = tokio::join!(first, kill);
+        let (first, index) = (first?, index?);
+        expect_that!(
+            first.outcome(),
+            some(eq(Outcome::Unknown)),
+            "{name} {first:?}"
+        );
+        deployment.targets[index].sidecar = None;
+        set_all(&deployment, TargetKind::Desk, &json!({})).await?;
+
+        for restarted in [false, true] {
+            if restarted {
+                deployment.restart_sidecar(index).await?;
+                deployment.wait_ready().await?;
+            }
+            for entry in 0..2 {
+                let again = book(&deployment, entry, "friday", LONG_MS).await?;
+                let place = format!("{name} restarted={restarted} entry={entry}");
+                expect_that!(
+                    again.outcome(),
+                    some(eq(Outcome::Unknown)),
+                    "{place} {again:?}"
+                );
+            }
+        }
+        expect_that!(runs(&deployment, "friday").await?, eq(1), "{name}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_whose_sidecar_died_unbilled_is_replayed_and_billed_once() -> Result<()> {
+    use cyc_standin::relay::Direction;
+
+    let mut deployment = support::start(support::desks_only()).await?;
+    for index in support::slots(&deployment, TargetKind::Desk) {
+        deployment.targets[index].relay.hold(Direction::FromTarget);
+    }
+    let first = book(&deployment, 0, "friday", LONG_MS);
+    let kill = async {
+        let index = wait_started(&deployment, "friday").await?;
+        let platform = deployment.platform_client();
+        wait_until("the claim shows the end", || async {
+            use cyc_platform::{Kind, Platform as _};
+            let buckets = platform.list(Kind::Claim, "").await.unwrap_or_default();
+            let done = |body: &[u8]| String::from_utf8_lossy(body).contains(r#""done""#);
+            buckets.iter().any(|bucket| done(&bucket.body))
+        })
+        .await?;
+        deployment.signal_sidecar(index, Signal::Kill)?;
+        for index in support::slots(&deployment, TargetKind::Desk) {
+            // What the sidecar had answered is lost with the connections.
+            deployment.targets[index].relay.reset();
+            deployment.targets[index].relay.heal();
+        }
+        support::Result::Ok(index)
+    };
+    let (first, index) = tokio::join!(first, kill);
+    let (first, index) = (first?, index?);
+    deployment.targets[index].sidecar = None;
+    expect_that!(
+        first.complete || first.outcome() != Some(Outcome::NotRun),
+        eq(true),
+        "{first:?}"
+    );
+    let again = book(&deployment, 1, "friday", LONG_MS).await?;
+    expect_that!(again.complete, eq(true), "{again:?}");
+    deployment.restart_sidecar(index).await?;
+    deployment.wait_ready().await?;
+    let third = book(&deployment, 0, "friday", LONG_MS).await?;
+    expect_that!(third.text, eq(&again.text));
+    expect_that!(runs(&deployment, "friday").await?, eq(1));
+    wait_billed(&deployment, ACCOUNT, BOOKING_PRICE.get()).await?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn one_key_at_all_entries_at_once_runs_once_and_only_with_its_body() -> Result<()> {
+    let layout = Layout {
+        entries: 3,
+        ..support::desks_only()
+    };
+    let deployment = support::start(layout).await?;
+    set_all(&deployment, TargetKind::Desk, &json!({ "slow": 200 })).await?;
+    let calls = (0..12).map(|n| book(&deployment, n % 3, "friday", LONG_MS));
+    let other = async {
+        wait_started(&deployment, "friday").await?;
+        book_body(&deployment, 1, ("friday", "kit-8"), LONG_MS).await
+    };
+    let (replies, reused) = tokio::join!(futures::future::join_all(calls), other);
+    let mut texts = Vec::new();
+    for reply in replies {
+        let reply = reply?;
+        expect_that!(reply.complete, eq(true), "{reply:?}");
+        texts.push(reply.text);
+    }
+    texts.dedup();
+    expect_that!(texts.len(), eq(1), "{texts:?}");
+    expect_that!(reused?.kind(), some(eq(ErrorKind::KeyReused)));
+    for entry in 0..3 {
+        let reused = book_body(&deployment, entry, ("friday", "kit-8"), LONG_MS).await?;
+        expect_that!(reused.kind(), some(eq(ErrorKind::KeyReused)), "{reused:?}");
+    }
+    expect_that!(super::super::support::desk_runs(&deployment).await?, eq(1));
+    wait_billed(&deployment, ACCOUNT, BOOKING_PRICE.get()).await?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_entry_killed_in_a_booking_leaves_the_answer_to_the_retry_and_one_bill() -> Result<()> {
+    let mut deployment = support::start(support::desks_only()).await?;
+    set_all(&deployment, TargetKind::Desk, &json!({ "slow": 1_000 })).await?;
+    let first = book(&deployment, 0, "friday", LONG_MS);
+    let kill = async {
+        wait_started(&deployment, "friday").await?;
+        deployment.signal_entry(0, Signal::Kill)?;
+        book(&deployment, 1, "friday", LONG_MS).await
+    };
+    let (first, again) = tokio::join!(first, kill);
+    let again = again?;
+    expect_that!(first.is_ok_and(|first| first.complete), eq(false));
+    expect_that!(again.complete, eq(true), "{again:?}");
+    deployment.entries[0].process = None;
+    deployment.restart_entry(0).await?;
+    deployment.wait_ready().await?;
+    let third = book(&deployment, 0, "friday", LONG_MS).await?;
+    expect_that!(third.text, eq(&again.text));
+    expect_that!(runs(&deployment, "friday").await?, eq(1));
+    wait_billed(&deployment, ACCOUNT, BOOKING_PRICE.get()).await?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn while_the_store_is_out_a_booking_is_refused_and_surely_not_run() -> Result<()> {
+    let deployment = support::start(support::desks_only()).await?;
+    for entry in 0..2 {
+        // Gives the entry tokens that outlast the outage.
+        book(&deployment, entry, &format!("before-{entry}"), LONG_MS).await?;
+    }
+    set_platform(&deployment, &json!({ "outage": true })).await?;
+    for entry in 0..2 {
+        let refused = book(&deployment, entry, "friday", 1_500).await?;
+        let kind = refused.kind();
+        expect_that!(
+            kind,
+            some(eq(ErrorKind::PlatformUnavailable)),
+            "{refused:?}"
+        );
+        expect_that!(refused.outcome(), some(eq(Outcome::NotRun)));
+        expect_that!(runs(&deployment, "friday").await?, eq(0));
+    }
+    set_platform(&deployment, &json!({})).await?;
+    support::pass_every_desk(&deployment, "passing").await?;
+    expect_that!(runs(&deployment, "friday").await?, eq(0));
+    for entry in 0..2 {
+        let again = book(&deployment, entry, "friday", LONG_MS).await?;
+        expect_that!(again.complete, eq(true), "{again:?}");
+    }
+    expect_that!(runs(&deployment, "friday").await?, eq(1));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_claim_whose_answer_is_lost_runs_once() -> Result<()> {
+    for lost in [
+        json!({ "first_writes": 1 }),
+        json!({ "every_nth_write": 2 }),
+        json!("every_write"),
+    ] {
+        let deployment = support::start(support::desks_only()).await?;
+        let faults = json!({ "lost": lost, "lost_kind": "claim" });
+        set_platform(&deployment, &faults).await?;
+        for (entry, key) in [(0, "friday"), (1, "friday"), (1, "sunday"), (0, "sunday")] {
+            let reply = book(&deployment, entry, key, LONG_MS).await?;
+            expect_that!(reply.complete, eq(true), "{faults} {reply:?}");
+        }
+        for key in ["friday", "sunday"] {
+            expect_that!(runs(&deployment, key).await?, eq(1), "{faults}");
+        }
+        wait_billed(&deployment, ACCOUNT, 2 * BOOKING_PRICE.get()).await?;
+    }
+    Ok(())
+}
--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -6,15 +6,16 @@
 };
 
 use cyc_claim::{ClaimOutcome, State};
-use cyc_proto::sidecar::{Frame, LoadReport, RouteClass, RunReply, RunRequest};
+use cyc_proto::sidecar::{LoadReport, RouteClass, RunReply, RunRequest};
 use cyc_route::{Permit, Pools};
-use cyc_types::{Clock, ErrorKind, Incarnation, Millis, Refusal, Revision, TargetId, Tokens};
+use cyc_types::{Clock, ErrorKind, Incarnation, Millis, Refusal, Revision, TargetId};
 use smol_str::SmolStr;
 use strum::IntoEnumIterator as _;
 use tokio::sync::watch;
 
 use crate::{
     claims::Claims,
+    replay::{self, Stored},
     run,
     table::{Admitted, Phase, Run, Table},
     target::TargetClient,
@@ -202,7 +203,8 @@
         RunReply::Started
     }
 
-    fn refuse(&self, run: &Run, refusal: Refusal) -> RunReply {
+    /// Takes a run that waits out of the table again.
+    pub(crate) fn refuse(&self, run: &Run, refusal: Refusal) -> RunReply {
         self.table.refuse(run, refusal.clone());
         RunReply::Refused(refusal)
     }
@@ -210,22 +212,26 @@
     /// Answers a request whose claim was not made now.
     fn not_claimed(&self, run: &Run, outcome: ClaimOutcome) -> RunReply {
         match outcome {
+            // Billed when the run ended, or kept in the table until it is.
             ClaimOutcome::Mine(State::Done {
                 status,
                 content_type,
                 body,
                 ..
-            })
-            | ClaimOutcome::Other {
+            }) => replay::answer(self, run, Stored::new(status, content_type, body)),
+            ClaimOutcome::Other {
                 state:
                     State::Done {
                         status,
                         content_type,
                         body,
-                        ..
+                        tokens,
                     },
                 ..
-            } => self.replay(run, status, content_type, body),
+            } => {
+                let stored = Stored::new(status, content_type, body).with_bill(tokens);
+                replay::answer(self, run, stored)
+            }
             ClaimOutcome::Other {
                 by,
                 target,
@@ -254,36 +260,6 @@
             }
         }
     }
-
-    /// Gives the stored answer of an earlier run.
-    fn replay(
-        &self,
-        run: &Run,
-        status: u16,
-        content_type: SmolStr,
-        body: Option<String>,
-    ) -> RunReply {
-        let Some(text) = body else {
-            let detail = "the request ran; its answer was too long to be kept";
-            return self.refuse(run, Refusal::new(ErrorKind::AnswerIncomplete, detail));
-        };
-        run.answer.push(Frame::Head {
-            status,
-            content_type,
-        });
-        run.answer.push(Frame::Data {
-            text,
-            tokens: Tokens::ZERO,
-        });
-        run.answer.push(Frame::End {
-            prompt: Tokens::ZERO,
-            output: Tokens::ZERO,
-            reason: "replayed".into(),
-            receipt: None,
-        });
-        self.table.end(run, None, self.clock().now());
-        RunReply::Joined
-    }
 }
 
 fn refused(kind: ErrorKind, detail: impl Into<SmolStr>) -> RunReply {
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -42,6 +42,11 @@
         self.frames().last().is_some_and(Frame::is_end)
     }
 
+    /// Returns true if the answer ended as failed.
+    pub fn is_failed(&self) -> bool {
+        matches!(self.frames().last(), Some(Frame::Failed { .. }))
+    }
+
     /// Returns true unless the answer is complete and nothing is billed for it.
     pub fn is_billed(&self) -> bool {
         match self.frames().last() {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod claims;
 pub mod daemon;
 pub mod load;
+mod over;
+mod replay;
 pub mod rpc;
 pub mod run;
 pub mod table;
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     admission::Sidecar,
-    table::{Phase, Run},
+    table::{Found, Phase, Run},
 };
 
 /// Error code of a subscription to an answer that is not here.
@@ -67,14 +67,17 @@
             return Ok(OutcomeReply::Gone);
         }
         let attempt = (req.request, req.entry.clone(), req.attempt);
-        let Some(run) = self.sidecar.table().find_or_bar(attempt) else {
-            return Ok(OutcomeReply::Barred);
+        let run = match self.sidecar.table().find_or_bar(attempt) {
+            Found::Run(run) => run,
+            Found::Refused(kind) => return Ok(OutcomeReply::NotRun(kind)),
+            Found::Barred => return Ok(OutcomeReply::Barred),
         };
         let mine = run.req.entry == req.entry && run.req.attempt == req.attempt;
         let phase = run.phase.borrow().clone();
         Ok(match phase {
             Phase::Waiting => OutcomeReply::Waiting,
-            Phase::NotRun(_) => OutcomeReply::Unbilled,
+            Phase::NotRun(_) if mine => OutcomeReply::Unbilled,
+            Phase::NotRun(_) => OutcomeReply::Barred,
             Phase::Ended(_) if mine && !run.answer.is_billed() => OutcomeReply::Unbilled,
             Phase::Running | Phase::Ended(_) => OutcomeReply::Here { mine },
             Phase::Refused(refusal) => OutcomeReply::NotRun(refusal.kind),
@@ -145,6 +148,7 @@
         for part in frames.chunks(MAX_FRAMES) {
             let chunk = Chunk {
                 request: run.req.request,
+                run: run.number,
                 first: next,
                 frames: part.to_vec(),
             };
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -127,7 +127,8 @@
     stored
 }
 
-fn receipt(sidecar: &Sidecar, req: &RunRequest, used: Tokens) -> Receipt {
+/// Writes the bill of a run.
+pub(crate) fn receipt(sidecar: &Sidecar, req: &RunRequest, used: Tokens) -> Receipt {
     Receipt {
         request: req.request,
         account: req.account.clone(),
--- a/crates/sidecar/src/table.rs
+++ b/crates/sidecar/src/table.rs
@@ -1,7 +1,7 @@
 //! What a sidecar remembers: runs, fences, barred attempts and receipts that nobody has released.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
@@ -9,15 +9,11 @@
     Receipt,
     sidecar::{FenceReply, RunRequest, RunningHold},
 };
-use cyc_types::{ErrorKind, Incarnation, Millis, Refusal, RequestId, VmId};
+use cyc_types::{ErrorKind, Incarnation, Millis, Outcome, Refusal, RequestId, VmId};
 use tokio::sync::{Notify, watch};
 
-use crate::answer::Answer;
-
-/// Attempts that stay barred; the oldest is forgotten first.
-///
-/// A barred message can only arrive on a connection that is still open, so far fewer are needed.
-const MAX_BARRED: usize = 65_536;
+pub use crate::over::{Attempt, attempt_of};
+use crate::{answer::Answer, over::Over};
 
 /// The phase of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +35,8 @@
 pub struct Run {
     /// What was asked, by the attempt that came first.
     pub req: RunRequest,
+    /// Number of this run within the sidecar, to tell its answer from that of a later run.
+    pub number: u64,
     /// Its answer.
     pub answer: Answer,
     /// Set to stop the run.
@@ -48,18 +46,24 @@
 }
 
 impl Run {
-    fn new(req: RunRequest) -> Self {
+    fn new(req: RunRequest, number: u64) -> Self {
         Self {
             req,
+            number,
             answer: Answer::default(),
             cancel: Notify::new(),
             phase: watch::Sender::new(Phase::Waiting),
         }
     }
 
-    /// Returns true if it is sure that the target has not run the request.
+    /// Returns true if another attempt may run the request: the target surely has not run it, or
+    /// it may be run more than once and the run has failed.
     pub fn may_run_again(&self) -> bool {
-        matches!(*self.phase.borrow(), Phase::NotRun(_))
+        match *self.phase.borrow() {
+            Phase::NotRun(_) => true,
+            Phase::Ended(_) => self.req.idempotent && self.answer.is_failed(),
+            Phase::Waiting | Phase::Running | Phase::Refused(_) => false,
+        }
     }
 
     /// Returns when the run ended, if it has.
@@ -76,16 +80,14 @@
     }
 }
 
-/// One attempt of one entry to have a request run.
-pub type Attempt = (RequestId, Incarnation, u64);
-
 #[derive(Debug, Default)]
 struct State {
     /// Per VM the lowest incarnation that may still spend. Invariant: only grows.
     fences: BTreeMap<VmId, u64>,
-    barred: HashSet<Attempt>,
-    barred_order: VecDeque<Attempt>,
+    over: Over,
     runs: HashMap<RequestId, Arc<Run>>,
+    /// Number of the last run.
+    last_run: u64,
     /// Receipts that the ledger may not have, by request and the entry that started the run.
     unreleased: BTreeMap<(RequestId, Incarnation), Receipt>,
     draining: bool,
@@ -109,6 +111,17 @@
     Found(Arc<Run>),
 }
 
+/// What [`Table::find_or_bar`] found.
+#[derive(Debug)]
+pub enum Found {
+    /// The request is here, under this attempt or another one.
+    Run(Arc<Run>),
+    /// The attempt was refused with this kind.
+    Refused(ErrorKind),
+    /// The attempt was not seen, and is barred.
+    Barred,
+}
+
 /// # Admission
 impl Table {
     fn state(&self) -> MutexGuard<'_, State> {
@@ -122,7 +135,7 @@
     pub fn admit(&self, req: &RunRequest) -> Result<Admitted, Refusal> {
         let mut state = self.state();
         state.check_fence(req)?;
-        if state.barred.contains(&attempt_of(req)) {
+        if state.over.contains(&attempt_of(req)) {
             return Err(Refusal::new(ErrorKind::Cancelled, "the attempt is barred"));
         }
         if let Some(run) = state.runs.get(&req.request) {
@@ -139,7 +152,8 @@
         if state.draining {
             return Err(Refusal::new(ErrorKind::Draining, "this target is leaving"));
         }
-        let run = Arc::new(Run::new(req.clone()));
+        state.last_run += 1;
+        let run = Arc::new(Run::new(req.clone(), state.last_run));
         state.runs.insert(req.request, run.clone());
         Ok(Admitted::New(run))
     }
@@ -153,8 +167,15 @@
     }
 
     /// Takes a refused run out of the table and tells those who wait for it.
+    ///
+    /// A refusal that does not say "not run" is remembered for an entry that has not heard it.
     pub fn refuse(&self, run: &Run, refusal: Refusal) {
-        self.state().runs.remove(&run.req.request);
+        let mut state = self.state();
+        state.runs.remove(&run.req.request);
+        if refusal.outcome() != Outcome::NotRun {
+            state.over.refuse(attempt_of(&run.req), refusal.kind);
+        }
+        drop(state);
         run.phase.send_replace(Phase::Refused(refusal));
     }
 
@@ -163,21 +184,21 @@
         self.state().runs.get(&request).cloned()
     }
 
-    /// Finds the run of a request, or bars the attempt so that a late message cannot start it.
-    pub fn find_or_bar(&self, attempt: Attempt) -> Option<Arc<Run>> {
+    /// Finds the run of a request. Unless it is this attempt's own, the attempt is barred, so that
+    /// a late message cannot start it, also not after the run that was found is over.
+    pub fn find_or_bar(&self, attempt: Attempt) -> Found {
         let mut state = self.state();
-        if let Some(run) = state.runs.get(&attempt.0) {
-            return Some(run.clone());
+        if let Some(kind) = state.over.refusal(&attempt) {
+            return Found::Refused(kind);
         }
-        if state.barred.insert(attempt.clone()) {
-            state.barred_order.push_back(attempt);
+        let run = state.runs.get(&attempt.0).cloned();
+        let is_own = run
+            .as_ref()
+            .is_some_and(|run| attempt_of(&run.req) == attempt);
+        if !is_own {
+            state.over.bar(attempt);
         }
-        if state.barred_order.len() > MAX_BARRED
-            && let Some(oldest) = state.barred_order.pop_front()
-        {
-            state.barred.remove(&oldest);
-        }
-        None
+        run.map_or(Found::Barred, Found::Run)
     }
 }
 
@@ -331,8 +352,3 @@
         Ok(())
     }
 }
-
-/// Names the attempt of a request.
-pub fn attempt_of(req: &RunRequest) -> Attempt {
-    (req.request, req.entry.clone(), req.attempt)
-}
