--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -5,7 +5,6 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use cadence::Counted as _;
 use cyc_budget::Purse;
 use cyc_claim::{BUCKETS, bucket_of};
 use cyc_config::InForce;
@@ -15,13 +14,14 @@
 use cyc_types::{
     AvailabilityZone, ByteSize, Clock, ErrorKind, Incarnation, Millis, Refusal, TargetId,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     books::Books,
     cx::Cx,
     fleet::{Fleet, Sidecar},
     forward::Job,
+    observe,
 };
 
 /// The limits of an entry.
@@ -90,6 +90,10 @@
     attempts: AtomicU64,
     in_flight: AtomicU64,
     draining: AtomicBool,
+    /// True while the VM list says that the VM of this entry is leaving.
+    leaving: AtomicBool,
+    /// Notified when sidecars have something to learn before the next heartbeat.
+    pub news: Notify,
     /// True once this incarnation was refused as fenced.
     fenced: watch::Sender<bool>,
 }
@@ -112,6 +116,8 @@
             attempts: AtomicU64::new(0),
             in_flight: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            news: Notify::new(),
             fenced: watch::Sender::new(false),
         }
     }
@@ -157,10 +163,7 @@
 impl App {
     /// Counts a refusal for the spend report.
     pub fn note_refusal(&self, cx: &Cx, refusal: &Refusal) {
-        // A metric that cannot be sent is dropped: no request may wait for it.
-        self.metrics
-            .count(&format!("refused.{}", refusal.kind), 1)
-            .ok();
+        observe::count_refusal(self, refusal.kind);
         if let Some(caller) = &cx.caller {
             let money_remained = refusal.kind != ErrorKind::BudgetExhausted;
             self.ledger
@@ -181,6 +184,19 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Notes what the VM list says of the VM of this entry.
+    pub fn set_leaving(&self, leaving: bool) {
+        if self.leaving.swap(leaving, Ordering::SeqCst) != leaving {
+            spdlog::info!("own_vm", kv: { leaving });
+        }
+    }
+
+    /// Returns true while the VM of this entry is leaving: the balancer should send no new
+    /// requests, but those that come are still served.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
     /// Notes that this incarnation is fenced: it stops, so that a new one starts with nothing.
     pub fn on_fenced(&self) {
         self.drain();
--- a/crates/quickstart/src/deploy.rs
+++ b/crates/quickstart/src/deploy.rs
@@ -10,15 +10,20 @@
 };
 
 use cyc_budget::{Payment, SHARDS, top_up};
+use cyc_cli::status::{self, EntryRow, Status};
 use cyc_config::{Document, Revised as _, store};
 use cyc_ledger::report;
+use cyc_member::Member;
 use cyc_platform::HttpPlatform;
+use cyc_proto::{ProcessKey, peer::EntryStatus};
 use cyc_standin::{
     client::Client,
     process::{Process, Signal},
     relay::TcpRelay,
 };
 use cyc_types::{Clock, Millis, Revision, Tokens};
+use http::Method;
+use serde_json::json;
 
 use crate::{
     caller::Caller,
@@ -158,6 +163,8 @@
         for number in 0..deployment.layout.entries {
             deployment.add_entry(number).await?;
         }
+        let all: Vec<usize> = (0..deployment.entries.len()).collect();
+        deployment.set_vms(&all).await?;
         deployment.wait_ready().await?;
         Ok(deployment)
     }
@@ -355,6 +362,70 @@
     }
 }
 
+/// # Stop of one process
+impl Deployment {
+    /// Stops an entry gracefully and waits for its end.
+    ///
+    /// # Errors
+    /// If it does not run or fails.
+    pub async fn stop_entry(&mut self, index: usize) -> Result<(), Error> {
+        let process = self.entries[index].process.take();
+        stop_all(vec![process.ok_or(Error::Condition("the entry runs"))?]).await
+    }
+
+    /// Stops the sidecar of a target gracefully and waits for its end.
+    ///
+    /// # Errors
+    /// If it does not run or fails.
+    pub async fn stop_sidecar(&mut self, index: usize) -> Result<(), Error> {
+        let process = self.targets[index].sidecar.take();
+        stop_all(vec![process.ok_or(Error::Condition("the sidecar runs"))?]).await
+    }
+
+    /// Waits until every registered entry and sidecar answers with its last registration, takes
+    /// new work and has the accepted configuration in force.
+    ///
+    /// # Errors
+    /// [`Error::Condition`] if that does not come about.
+    pub async fn wait_settled(&self) -> Result<(), Error> {
+        wait_until("every process is in service", || async {
+            self.status().await.is_ok_and(|status| {
+                let draining = status.sidecars.iter().any(|row| row.draining);
+                let at_once = |row: &EntryRow| {
+                    row.status.as_ref().is_some_and(|entry| {
+                        let current = entry.entry == row.member.incarnation();
+                        current && !entry.draining && sees_all(entry, &status)
+                    })
+                };
+                !draining && status.entries.iter().all(at_once)
+            })
+        })
+        .await
+    }
+
+    /// Reads the state of the deployment as `cyclamen status` does.
+    ///
+    /// # Errors
+    /// If the platform gives no answer.
+    pub async fn status(&self) -> Result<Status, Error> {
+        status::collect(&self.platform_client(), &ProcessKey::new(PROCESS_KEY))
+            .await
+            .map_err(|error| Error::Refused(error.to_string()))
+    }
+}
+
+/// Returns true if an entry reaches every registered sidecar, with the accepted configuration.
+fn sees_all(entry: &EntryStatus, status: &Status) -> bool {
+    let reached = |member: &Member| {
+        entry.sidecars.iter().any(|seen| {
+            let current = seen.sidecar.as_ref() == Some(&member.incarnation());
+            current && seen.reachable && !seen.draining && seen.revision >= status.accepted
+        })
+    };
+    let sidecars = status.sidecars.iter().all(|row| reached(&row.member));
+    entry.revision >= status.accepted && sidecars
+}
+
 async fn stop_all(processes: Vec<Process>) -> Result<(), Error> {
     for process in &processes {
         process.signal(Signal::Term)?;
@@ -374,6 +445,24 @@
 
 /// # Operators and callers
 impl Deployment {
+    /// Sets the platform's VM list: the VMs of all targets and of these entries.
+    ///
+    /// # Errors
+    /// If the stand-in gives no answer.
+    pub async fn set_vms(&self, entries: &[usize]) -> Result<(), Error> {
+        let vm = |name: String, number| {
+            let zone = layout::zone(number);
+            json!({ "id": format!("vm-{name}"), "zone": zone, "ip": "127.0.0.1", "state": "live" })
+        };
+        let targets = self.targets.iter();
+        let targets = targets.map(|slot| vm(target_name(slot.kind, slot.number), slot.number));
+        let entries = entries.iter().map(|n| vm(format!("entry-{n}"), *n));
+        let vms: Vec<_> = targets.chain(entries).collect();
+        let admin = self.platform_admin();
+        admin.send_json(Method::PUT, "/admin/vms", &vms).await?;
+        Ok(())
+    }
+
     /// Returns a client of the platform that no relay stands before.
     pub fn platform_client(&self) -> HttpPlatform {
         HttpPlatform::new(self.platform.addr()).with_timeout(Millis::new(5_000))
@@ -396,7 +485,11 @@
     pub fn document(&self) -> Result<Document, Error> {
         let addrs = |kind| -> Vec<SocketAddr> {
             let slots = self.targets.iter().filter(|slot| slot.kind == kind);
-            slots.map(|slot| slot.relay.addr()).collect()
+            let addr = |slot: &TargetSlot| match self.layout.direct {
+                true => slot.addr,
+                false => slot.relay.addr(),
+            };
+            slots.map(addr).collect()
         };
         let (engines, desks) = (addrs(TargetKind::Engine), addrs(TargetKind::Desk));
         Ok(layout::document(&self.layout, &engines, &desks)?)
--- a/crates/quickstart/src/layout.rs
+++ b/crates/quickstart/src/layout.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 
 use cyc_config::{
-    Account, ApiKey, Builder, Document, EngineState, Problem, Route, Service, Slots, Target,
+    Account, ApiKey, Builder, Document, EngineState, Objective, Problem, Route, Service, Slots,
+    Target,
 };
 use cyc_proto::sidecar::RouteClass;
-use cyc_types::{Tokens, size::ParseValueError};
+use cyc_types::{Millis, Tokens, size::ParseValueError};
+use strum::IntoEnumIterator as _;
 
 /// The key that the processes share.
 pub const PROCESS_KEY: &str = "quickstart-process-key";
@@ -20,6 +22,12 @@
 pub const BOOKING_PRICE: Tokens = Tokens::new(100);
 /// The price of a status check.
 pub const STATUS_PRICE: Tokens = Tokens::new(1);
+/// Latency of all objectives: a slow machine does not miss it.
+pub const OBJECTIVE_LATENCY: Millis = Millis::new(60_000);
+/// Share of requests within the latency.
+pub const OBJECTIVE_SHARE: f64 = 0.9;
+/// Window of all objectives.
+pub const OBJECTIVE_WINDOW: Millis = Millis::new(24 * 3_600_000);
 
 /// The kinds of targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +49,8 @@
     pub entries: usize,
     /// Client accounts, each with one budget of the same name.
     pub accounts: Vec<&'static str>,
+    /// True if entries connect to sidecars without a relay between them, for measurements.
+    pub direct: bool,
     /// Arguments of each engine.
     pub engine_args: Vec<String>,
     /// Lines added to the settings of entries, by section.
@@ -56,6 +66,7 @@
             desks: 2,
             entries: 2,
             accounts: vec!["league", "club"],
+            direct: false,
             engine_args: Vec::new(),
             entry_settings: Vec::new(),
             sidecar_settings: Vec::new(),
@@ -73,6 +84,12 @@
         }
     }
 
+    /// Connects entries to sidecars without a relay between them.
+    pub fn with_direct(mut self) -> Self {
+        self.direct = true;
+        self
+    }
+
     /// Adds a line to the settings of every entry.
     pub fn with_entry_setting(mut self, section: &'static str, line: impl Into<String>) -> Self {
         self.entry_settings.push((section, line.into()));
@@ -102,7 +119,7 @@
     format!("almaty-{}", ["a", "b", "c"][n % 3])
 }
 
-/// Writes settings: each line under its section.
+/// Writes settings: each line under its section. A later line of a key replaces an earlier one.
 pub fn settings_text(lines: &[(&str, String)]) -> String {
     let mut sections: Vec<&str> = Vec::new();
     for (section, _) in lines {
@@ -113,13 +130,22 @@
     let mut text = String::new();
     for section in sections {
         text.push_str(&format!("[{section}]\n"));
-        for (_, line) in lines.iter().filter(|(name, _)| *name == section) {
-            text.push_str(&format!("{line}\n"));
+        let lines = lines.iter().filter(|(name, _)| *name == section);
+        let lines: Vec<&String> = lines.map(|(_, line)| line).collect();
+        for (n, line) in lines.iter().enumerate() {
+            let is_replaced = |later: &&String| key_of(later) == key_of(line);
+            if !lines[n + 1..].iter().any(is_replaced) {
+                text.push_str(&format!("{line}\n"));
+            }
         }
     }
     text
 }
 
+fn key_of(line: &str) -> &str {
+    line.split('=').next().unwrap_or(line).trim()
+}
+
 /// Why a document could not be written.
 #[derive(Debug)]
 pub enum DocumentError {
@@ -185,5 +211,13 @@
             .with_key(ApiKey::new(&api_key(name), name.parse()?));
         builder = builder.with_account(account);
     }
+    for class in RouteClass::iter() {
+        builder = builder.with_objective(Objective {
+            class,
+            latency_ms: OBJECTIVE_LATENCY,
+            share: OBJECTIVE_SHARE,
+            window_ms: OBJECTIVE_WINDOW,
+        });
+    }
     builder.build().map_err(DocumentError::Invalid)
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -13,6 +13,7 @@
 mod replay;
 pub mod rpc;
 pub mod run;
+pub mod slots;
 pub mod table;
 pub mod target;
 
