--- a/crates/quickstart/src/bin/measure/main.rs
+++ b/crates/quickstart/src/bin/measure/main.rs
@@ -1,7 +1,8 @@
-//! Measures a deployment on loopback: `measure latency|memory|slopes`.
+//! Measures a deployment on loopback: `measure config|latency|memory|slopes`.
 //!
 //! Needs the release builds of all programs beside it: `cargo build --release --workspace --bins`.
 
+mod config;
 mod latency;
 mod memory;
 mod process;
@@ -18,6 +19,8 @@
 #[derive(Debug, Clone, Copy, EnumString, VariantNames)]
 #[strum(serialize_all = "snake_case")]
 enum Subject {
+    /// How fast configurations and leaving targets spread, and what planned stops cut off.
+    Config,
     /// The latency that entry and sidecar add.
     Latency,
     /// Memory and CPU time of each process, idle and under load.
@@ -37,6 +40,7 @@
     };
     println!("machine: {}", process::machine());
     let measured = match subject {
+        Subject::Config => config::measure().await,
         Subject::Latency => latency::measure().await,
         Subject::Memory => memory::measure().await,
         Subject::Slopes => slopes::measure().await,
