--- a/crates/quickstart/src/bin/measure/config.rs
+++ b/crates/quickstart/src/bin/measure/config.rs
@@ -30,12 +30,11 @@
 /// Time between two looks at a target's counters.
 const WATCH_POLL: Duration = Duration::from_millis(2);
 
-/// Measures and prints everything.
+/// Measures how fast news spreads.
 pub async fn measure() -> Result<(), Error> {
     in_force().await?;
     leaving(News::VmList).await?;
-    leaving(News::Signal).await?;
-    rolling_restart().await
+    leaving(News::Signal).await
 }
 
 async fn start() -> Result<Deployment, Error> {
@@ -170,7 +169,7 @@
 }
 
 /// Counts the requests that a restart of every process, one after the other, cuts off.
-async fn rolling_restart() -> Result<(), Error> {
+pub async fn rolling_restart() -> Result<(), Error> {
     let mut deployment = start().await?;
     let load = load(&deployment);
     let since = Instant::now();
--- a/crates/quickstart/src/bin/measure/main.rs
+++ b/crates/quickstart/src/bin/measure/main.rs
@@ -1,4 +1,4 @@
-//! Measures a deployment on loopback: `measure config|latency|memory|slopes`.
+//! Measures a deployment on loopback: `measure config|restart|latency|memory|slopes`.
 //!
 //! Needs the release builds of all programs beside it: `cargo build --release --workspace --bins`.
 
@@ -19,8 +19,10 @@
 #[derive(Debug, Clone, Copy, EnumString, VariantNames)]
 #[strum(serialize_all = "snake_case")]
 enum Subject {
-    /// How fast configurations and leaving targets spread, and what planned stops cut off.
+    /// How fast configurations and the news of leaving targets spread.
     Config,
+    /// What a rolling restart cuts off.
+    Restart,
     /// The latency that entry and sidecar add.
     Latency,
     /// Memory and CPU time of each process, idle and under load.
@@ -41,6 +43,7 @@
     println!("machine: {}", process::machine());
     let measured = match subject {
         Subject::Config => config::measure().await,
+        Subject::Restart => config::rolling_restart().await,
         Subject::Latency => latency::measure().await,
         Subject::Memory => memory::measure().await,
         Subject::Slopes => slopes::measure().await,
