--- a/crates/config/src/target.rs
+++ b/crates/config/src/target.rs
@@ -1,10 +1,11 @@
 //! Targets and what may run on them.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use cyc_proto::sidecar::RouteClass;
-use cyc_types::{AvailabilityZone, ModelId, ServiceId, TargetId, VmId};
+use cyc_types::{AvailabilityZone, ByteSize, ModelId, ServiceId, TargetId, VmId};
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 use strum::Display;
 
 /// Slots of a target by route class.
@@ -44,12 +45,25 @@
     Decode,
 }
 
+/// Which weights of a model or adapter an engine should load.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Weights {
+    /// The version.
+    pub version: SmolStr,
+    /// The size, for the permit of the weight store.
+    pub bytes: ByteSize,
+}
+
 /// What an engine should hold and do.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineState {
     /// The models and adapters that it should have loaded.
     pub models: Vec<ModelId>,
+    /// The weights of those models and adapters of which any loaded version will not do.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub weights: BTreeMap<ModelId, Weights>,
     /// Its role.
     #[serde(default)]
     pub role: EngineRole,
--- a/crates/entry/src/api/chat.rs
+++ b/crates/entry/src/api/chat.rs
@@ -5,7 +5,7 @@
     response::{IntoResponse, Response},
 };
 use bytes::Bytes;
-use cyc_config::Services;
+use cyc_config::{Service, Services};
 use cyc_proto::sidecar::{Frame, Work};
 use cyc_route::prefix;
 use cyc_types::{ErrorKind, ModelId, Refusal, RequestId, Tokens, hash};
@@ -84,7 +84,7 @@
         prefixes: prefix::hashes(prompt.as_bytes()),
         fingerprint: hash::stable(body),
         work: Work::Chat {
-            body: text.to_owned(),
+            body: engine_body(service, text)?,
             max_output: Tokens::new(max_output),
         },
     };
@@ -95,6 +95,16 @@
     })
 }
 
+/// Returns the body for the engine, which names an adapter together with its model.
+fn engine_body(service: &Service, text: &str) -> Result<String, Refusal> {
+    let (Some(model), Some(adapter)) = (&service.model, &service.adapter) else {
+        return Ok(text.to_owned());
+    };
+    let mut body: Value = serde_json::from_str(text).map_err(|e| bad(format!("the body: {e}")))?;
+    body["model"] = format!("{model}:{adapter}").into();
+    Ok(body.to_string())
+}
+
 fn max_output(json: &ChatJson) -> Result<u64, Refusal> {
     if json.n.is_some_and(|n| n != 1) {
         return Err(bad("n: only 1 is allowed"));
--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
+use cyc_proto::sidecar::RouteClass;
 use cyc_types::{ErrorKind, IdempotencyKey, Millis, Refusal, RequestId};
 use strum::{Display, EnumIter, IntoEnumIterator as _, IntoStaticStr};
 
 use crate::{
     app::App,
     cx::{Caller, Cx},
-    forward::{self, Job},
+    forward::{Job, Tried},
+    hedge,
 };
 
 /// The filters, in the order in which a request meets them.
@@ -87,6 +89,8 @@
 fn deadline(app: &App, cx: &mut Cx) -> Result<(), Refusal> {
     let limit = app.options.max_deadline;
     let span = match cx.headers.deadline.as_deref() {
+        // A draft may be slow and must still finish, so that it gets the longest deadline.
+        None if cx.ask.class == RouteClass::Drafting => limit,
         None => app.options.default_deadline,
         Some(text) => match text.parse::<Millis>() {
             Ok(span) if !span.is_zero() && span <= limit => span,
@@ -113,7 +117,7 @@
         Refusal::new(ErrorKind::BadRequest, detail)
     })?;
     let caller = caller(cx)?;
-    cx.request = RequestId::from_key(&caller.account, &key);
+    cx.request = RequestId::from_key(&caller.account, &cx.ask.service, &key);
     cx.key = Some(key);
     Ok(())
 }
@@ -151,10 +155,11 @@
         caller: caller(cx)?.clone(),
         ask: cx.ask.clone(),
         until: cx.until,
-        reservation: cx.reservation.take().ok_or_else(internal)?,
-        permit: cx.permit.take().ok_or_else(internal)?,
+        reservation: Some(cx.reservation.take().ok_or_else(internal)?),
+        permit: Some(cx.permit.take().ok_or_else(internal)?),
+        tried: Tried::default(),
     };
-    cx.events = Some(forward::start(app.clone(), job));
+    cx.events = Some(hedge::start(app.clone(), job));
     Ok(())
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod forward;
+pub mod hedge;
 pub mod listen;
 pub mod peer;
 pub mod relay;
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -64,7 +64,7 @@
 pub struct Health {
     options: Options,
     failures: u32,
-    /// The last frame or answered heartbeat.
+    /// The last frame of an answer.
     sign: Option<Millis>,
     phase: Phase,
 }
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Notes a sign of life: a frame of an answer, or an answered heartbeat.
+    /// Notes a sign of life: a frame of an answer.
     pub fn alive(&mut self, now: Millis) {
         self.sign = Some(now);
     }
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -4,6 +4,7 @@
 
 use cyc_claim::{Committer, commit};
 use cyc_member::{Backoff, Entry as MemberEntry, Role, fence, register};
+use cyc_orders::FenceCheck;
 use cyc_platform::{HttpPlatform, Platform};
 use cyc_proto::{
     ProcessKey, bind, serve,
@@ -16,7 +17,7 @@
 use crate::{
     admission::{Options, Sidecar},
     claims::Claims,
-    load,
+    load, orders,
     rpc::Rpc,
     target::TargetClient,
 };
@@ -85,6 +86,11 @@
     let server = serve(listener, &key, Rpc::new(sidecar.clone()).into_rpc())?;
     if settings.target.kind == TargetKind::Engine {
         tokio::spawn(load::follow_engine(sidecar.clone(), settings.target.load));
+        let check = match settings.target.checks_fencing {
+            true => FenceCheck::Checked,
+            false => FenceCheck::Ignored,
+        };
+        tokio::spawn(orders::run(sidecar.clone(), platform.clone(), check));
     }
     let buffer = usize::try_from(settings.limits.answer_buffer.get()).unwrap_or(usize::MAX);
     tokio::spawn(evict(sidecar.clone(), settings.limits.retry_window, buffer));
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod daemon;
 pub mod load;
+pub mod orders;
 pub mod rpc;
 pub mod run;
 pub mod table;
--- a/crates/sidecar/src/load.rs
+++ b/crates/sidecar/src/load.rs
@@ -14,14 +14,20 @@
 /// Prefixes kept for the next load report.
 const MAX_PREFIXES: usize = 1_024;
 
+/// The load as the engine reports it.
 #[derive(Debug, Deserialize)]
-struct LoadJson {
+pub(crate) struct LoadJson {
     running: u32,
     waiting: u32,
+    /// The version of each loaded model.
     #[serde(default)]
-    models: std::collections::BTreeMap<SmolStr, serde_json::Value>,
+    pub(crate) models: std::collections::BTreeMap<SmolStr, SmolStr>,
+    /// Loaded adapters as `model:adapter`.
     #[serde(default)]
-    adapters: Vec<SmolStr>,
+    pub(crate) adapters: Vec<SmolStr>,
+    /// The part that the engine takes in generation.
+    #[serde(default)]
+    pub(crate) role: Option<SmolStr>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -54,7 +60,10 @@
 async fn read(sidecar: &Sidecar, after: &mut u64) -> Option<LoadReport> {
     let load = sidecar.target().read("/v1/load").await.ok()?;
     let load: LoadJson = serde_json::from_value(load).ok()?;
-    let names = load.models.keys().chain(&load.adapters);
+    // The document names an adapter without its model.
+    let adapters = load.adapters.iter().filter_map(|name| name.split_once(':'));
+    let adapters = adapters.map(|(_, adapter)| adapter);
+    let names = load.models.keys().map(SmolStr::as_str).chain(adapters);
     let models: Vec<ModelId> = names.filter_map(|name| name.parse().ok()).collect();
     Some(LoadReport {
         reported: f64::from(load.running + load.waiting),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -174,7 +174,8 @@
 fn chat_not_started(error: Error) -> Ending {
     match error {
         Error::NotSent(why) => Ending::failed(ErrorKind::NoTarget, why),
-        Error::Refused(status @ (429 | 503), why) => {
+        // 404: the model is not loaded yet, so that the request may run later or elsewhere.
+        Error::Refused(status @ (404 | 429 | 503), why) => {
             Ending::failed(ErrorKind::Overloaded, format!("{status}: {why}"))
         }
         Error::Refused(status @ 400..=499, why) => {
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -77,9 +77,11 @@
 impl Client {
     /// Creates a client of the server at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
         Self {
             addr,
-            client: HyperClient::builder(TokioExecutor::new()).build_http(),
+            client: HyperClient::builder(TokioExecutor::new()).build(connector),
         }
     }
 
