--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -97,6 +97,8 @@
     targets: Vec<Target>,
     index: BTreeMap<TargetId, usize>,
     turn: u64,
+    /// The incarnations that may be sent work, also of targets that have no row now.
+    recorded: BTreeMap<TargetId, Incarnation>,
 }
 
 /// All sidecars of the configuration in force.
@@ -151,8 +153,13 @@
         for place in places {
             let kept = old
                 .remove(&place.target)
-                .filter(|(row, _)| row.place == place);
-            let (row, target) = kept.unwrap_or_else(|| self.new_row(place));
+                .filter(|(row, _)| row.place.addr == place.addr);
+            let (row, target) = match kept {
+                Some(kept) => moved(kept, place),
+                None => self.new_row(place),
+            };
+            let recorded = rows.recorded.get(&row.place.target).cloned();
+            let row = Row { recorded, ..row };
             rows.rows.push(row);
             rows.targets.push(target);
         }
@@ -227,6 +234,14 @@
     }
 }
 
+/// Gives a known target its new services and zone; its sidecar and what is known of it stay.
+fn moved((mut row, mut target): (Row, Target), place: Place) -> (Row, Target) {
+    target.services = place.services.clone();
+    target.zone = place.zone.clone();
+    row.place = place;
+    (row, target)
+}
+
 /// # Signs of life
 impl Fleet {
     /// Returns the mark that [`Fleet::answered`] needs, taken before a heartbeat is sent.
@@ -259,7 +274,9 @@
 
     /// Notes which incarnations may be sent work.
     pub fn set_recorded(&self, contacts: &BTreeMap<TargetId, Incarnation>) {
-        for row in &mut self.lock().rows {
+        let mut rows = self.lock();
+        rows.recorded.clone_from(contacts);
+        for row in &mut rows.rows {
             row.recorded = contacts.get(&row.place.target).cloned();
         }
     }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -297,6 +297,11 @@
 fn called(run: &Run, answer: Result<CallAnswer, Error>) -> Ending {
     let price = run.req.reserved;
     match answer {
+        // Another target may answer an idempotent call better.
+        Ok(answer) if run.req.idempotent && answer.status >= 500 => Ending::failed(
+            ErrorKind::TargetFailed,
+            format!("the target answered {}", answer.status),
+        ),
         Ok(answer) => {
             let CallAnswer {
                 status,
