--- a/crates/orders/src/drive.rs
+++ b/crates/orders/src/drive.rs
@@ -151,10 +151,9 @@
             let now = desired.borrow_and_update().clone();
             let wait = match self.step(&now).await {
                 Step::Replaced => return Step::Replaced,
+                Step::Ordered(_) => continue,
                 Step::Wait(wait) => wait,
-                // The engine's report lags: right after an order it may still show the old state.
-                Step::Ordered(_)
-                | Step::Settled
+                Step::Settled
                 | Step::Busy
                 | Step::Changed
                 | Step::PlatformUnavailable
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -24,6 +24,8 @@
 const OBSERVE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an order may take; loading weights takes minutes.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(600);
+/// How long an engine's report may show the state before an order; the next order waits so long.
+const REPORT_LAG: Duration = Duration::from_secs(1);
 /// The version of a model for which the document names none: any loaded version will do.
 const ANY_VERSION: SmolStr = SmolStr::new_static("latest");
 /// The size of weights for which the document names none.
@@ -167,7 +169,10 @@
             .await
             .map_err(|_| EngineError::NoAnswer("timeout".into()))?;
         match answer {
-            Ok((200..=299, _)) => Ok(()),
+            Ok((200..=299, _)) => {
+                tokio::time::sleep(REPORT_LAG).await;
+                Ok(())
+            }
             Ok((409, text)) => Err(EngineError::Fenced(seen_fence(&text, fence))),
             Ok((status @ 400..=499, text)) => {
                 Err(EngineError::Refused(format!("{status}: {text}")))
