--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,11 +3,15 @@
 //! Results go to standard output, errors to standard error; the exit code says which kind of
 //! error it was ([`Exit`]).
 
+pub mod burn;
 pub mod check;
 pub mod document;
 mod flags;
+pub mod input;
 pub mod output;
+pub mod spend;
 pub mod status;
+pub mod top_up;
 
 use std::ffi::OsString;
 
@@ -23,9 +27,26 @@
     };
     match flags.subcommand {
         CyclamenCmd::Check(check) => check::files(&check.file, flags.json),
-        CyclamenCmd::Submit(submit) => {
-            document::submit(&submit.document, submit.platform, submit.expect, flags.json).await
+        CyclamenCmd::Submit(submit) => document::submit(&submit, flags.json).await,
+        CyclamenCmd::Show(show) => match input::platform(&show.platform) {
+            Ok(addr) => document::show(addr, flags.json).await,
+            Err(error) => error.into(),
+        },
+        CyclamenCmd::Topup(topup) => top_up::pay(&topup, flags.json).await,
+        CyclamenCmd::Status(status) => status::print(&status, flags.json).await,
+        CyclamenCmd::Spend(flag) => {
+            let options = spend::Options {
+                account: flag.account,
+                month: flag.month,
+            };
+            match input::platform(&flag.platform) {
+                Ok(addr) => spend::spend(addr, &options, flags.json).await,
+                Err(error) => error.into(),
+            }
         }
-        CyclamenCmd::Show(show) => document::show(show.platform, flags.json).await,
+        CyclamenCmd::Burn(flag) => match input::platform(&flag.platform) {
+            Ok(addr) => burn::burn(addr, flag.window, flag.plot, flags.json).await,
+            Err(error) => error.into(),
+        },
     }
 }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -2,7 +2,11 @@
 //! system.
 
 pub mod contacts;
+pub mod duty;
 pub mod follow;
+pub mod gauges;
 pub mod heartbeat;
+pub mod merge;
+pub mod reclaim;
 pub mod release;
 pub mod vms;
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -7,7 +7,7 @@
 };
 
 use cyc_proto::{Link, ProcessKey, sidecar::HeartbeatReply};
-use cyc_route::{Ask, Failure, Health, Options, Target, candidates, choose, health};
+use cyc_route::{Ask, Failure, Health, Options, Standing, Target, candidates, choose, health};
 use cyc_types::{AvailabilityZone, Incarnation, Millis, ServiceId, TargetId};
 
 /// Hashes of cached prefixes kept for each target.
@@ -222,6 +222,12 @@
         self.lock().rows.iter().filter(answered).count()
     }
 
+    /// Returns the number of targets that get no requests because requests failed there.
+    pub fn ejected(&self, now: Millis) -> usize {
+        let ejected = |row: &&Row| row.health.standing(now) != Standing::Open;
+        self.lock().rows.iter().filter(ejected).count()
+    }
+
     fn with_target<T>(
         &self,
         id: &TargetId,
@@ -355,10 +361,11 @@
     }
 
     /// Returns the targets, in the order of rendezvous hashing, at which a retry of the request
-    /// finds it.
+    /// finds it. The choice may go beyond the first candidates when those are full or ejected, so
+    /// twice as many are looked at.
     pub fn candidates(&self, ask: &Ask<'_>) -> Vec<Arc<Sidecar>> {
         let rows = self.lock();
-        let count = self.options.candidates;
+        let count = self.options.candidates.saturating_mul(2);
         let found = candidates(&rows.targets, ask.service, ask.model, ask.key, count);
         found
             .into_iter()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod forward;
 pub mod hedge;
 pub mod listen;
+pub mod observe;
 pub mod peer;
 pub mod relay;
 
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -6,10 +6,7 @@
 use cyc_member::{Backoff, Entry as MemberEntry, Role, fence, register};
 use cyc_orders::FenceCheck;
 use cyc_platform::{HttpPlatform, Platform};
-use cyc_proto::{
-    ProcessKey, bind, serve,
-    sidecar::{RouteClass, SidecarServer as _},
-};
+use cyc_proto::{ProcessKey, bind, serve, sidecar::SidecarServer as _};
 use cyc_route::{Pools, pool};
 use cyc_settings::{SidecarSettings, TargetKind};
 use cyc_types::{Clock, Incarnation, Millis};
@@ -19,6 +16,7 @@
     claims::Claims,
     load, orders,
     rpc::Rpc,
+    slots,
     target::TargetClient,
 };
 
@@ -92,6 +90,7 @@
         };
         tokio::spawn(orders::run(sidecar.clone(), platform.clone(), check));
     }
+    tokio::spawn(slots::follow(sidecar.clone(), settings.limits.clone()));
     let buffer = usize::try_from(settings.limits.answer_buffer.get()).unwrap_or(usize::MAX);
     tokio::spawn(evict(sidecar.clone(), settings.limits.retry_window, buffer));
     println!("listening on {addr}");
@@ -113,11 +112,7 @@
     );
     let limits = &settings.limits;
     let options = |class| pool::Options {
-        slots: match class {
-            RouteClass::Status => limits.status_slots,
-            RouteClass::Booking => limits.booking_slots,
-            RouteClass::Drafting => limits.drafting_slots,
-        },
+        slots: slots::of_settings(limits, class),
         queue: limits.queue,
         ..pool::Options::default()
     };
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,8 +10,11 @@
 pub mod daemon;
 pub mod load;
 pub mod orders;
+mod over;
+mod replay;
 pub mod rpc;
 pub mod run;
+pub mod slots;
 pub mod table;
 pub mod target;
 
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -129,6 +129,14 @@
     pub fn wait(&mut self) -> Result<bool, Error> {
         Ok(self.child.wait()?.success())
     }
+
+    /// Waits for the end of the process; returns its exit code, or `None` if a signal ended it.
+    ///
+    /// # Errors
+    /// If the process cannot be waited for.
+    pub fn wait_code(&mut self) -> Result<Option<i32>, Error> {
+        Ok(self.child.wait()?.code())
+    }
 }
 
 impl Drop for Process {
@@ -140,7 +148,10 @@
 }
 
 /// Finds a program of the workspace beside the folder of the running test.
-fn program_path(program: &str) -> io::Result<PathBuf> {
+///
+/// # Errors
+/// If the program is not there.
+pub fn program_path(program: &str) -> io::Result<PathBuf> {
     let exe = std::env::current_exe()?;
     // Test executables lie in a folder below that of the programs.
     let folders = exe.ancestors().skip(1).take(2);
