--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -22,6 +22,7 @@
     cx::Cx,
     fleet::{Fleet, Sidecar},
     forward::Job,
+    hedge::Hedges,
     observe,
 };
 
@@ -88,6 +89,8 @@
     pub ledger: Ledger,
     /// Counters.
     pub metrics: Metrics,
+    /// When look-ups go to a second target.
+    pub hedges: Hedges,
     attempts: AtomicU64,
     in_flight: AtomicU64,
     /// Requests whose answers are not at their end.
@@ -116,6 +119,7 @@
             pools: parts.pools,
             ledger: parts.ledger,
             metrics: parts.metrics,
+            hedges: Hedges::default(),
             attempts: AtomicU64::new(0),
             in_flight: AtomicU64::new(0),
             requests: AtomicU64::new(0),
--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -9,7 +9,8 @@
 use crate::{
     app::App,
     cx::{Caller, Cx},
-    forward::{self, Job},
+    forward::{Job, Tried},
+    hedge,
 };
 
 /// The filters, in the order in which a request meets them.
@@ -154,10 +155,11 @@
         caller: caller(cx)?.clone(),
         ask: cx.ask.clone(),
         until: cx.until,
-        reservation: cx.reservation.take().ok_or_else(internal)?,
-        permit: cx.permit.take().ok_or_else(internal)?,
+        reservation: Some(cx.reservation.take().ok_or_else(internal)?),
+        permit: Some(cx.permit.take().ok_or_else(internal)?),
+        tried: Tried::default(),
     };
-    cx.events = Some(forward::start(app.clone(), job));
+    cx.events = Some(hedge::start(app.clone(), job));
     Ok(())
 }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -4,7 +4,7 @@
 //! A request is forwarded by a task of its own, which goes on when the caller goes away: only the
 //! end of the run tells what is billed.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cyc_budget::Reservation;
 use cyc_member::Backoff;
@@ -50,10 +50,32 @@
     pub ask: Ask,
     /// When the caller gives up.
     pub until: Millis,
-    /// Tokens for the first attempt.
-    pub reservation: Reservation,
-    /// The slot, held until the run has ended.
-    pub permit: Permit,
+    /// Tokens for the first attempt. Invariant: given when the job starts.
+    pub reservation: Option<Reservation>,
+    /// The slot, held until the run has ended; `None` if another job of the request holds it.
+    pub permit: Option<Permit>,
+    /// The targets that jobs of this request have tried.
+    pub tried: Tried,
+}
+
+/// The targets that were tried, shared by the jobs of one request.
+#[derive(Debug, Clone, Default)]
+pub struct Tried(Arc<Mutex<Vec<TargetId>>>);
+
+impl Tried {
+    fn lock(&self) -> MutexGuard<'_, Vec<TargetId>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a target.
+    pub fn add(&self, target: TargetId) {
+        self.lock().push(target);
+    }
+
+    /// Returns the targets, in the order in which they were tried.
+    pub fn list(&self) -> Vec<TargetId> {
+        self.lock().clone()
+    }
 }
 
 /// Starts to forward a request and returns what will come of it.
@@ -62,7 +84,8 @@
     let busy = app.begin();
     tokio::spawn(async move {
         let _busy = busy;
-        let reservation = Some(job.reservation.clone());
+        let mut job = job;
+        let reservation = job.reservation.take();
         let driver = Driver {
             app,
             job,
@@ -70,7 +93,6 @@
             reservation,
             head: None,
             forwarded: false,
-            tried: Vec::new(),
         };
         driver.drive().await;
     });
@@ -98,7 +120,6 @@
     head: Option<Frame>,
     /// True if the caller has been given a frame of an answer.
     forwarded: bool,
-    tried: Vec<TargetId>,
 }
 
 /// # Attempts
@@ -116,7 +137,7 @@
     /// Tries targets until the caller has an answer; returns the refusal otherwise.
     async fn attempts(&mut self) -> Option<Refusal> {
         if let Some(sidecar) = self.find_running().await {
-            self.tried.push(sidecar.target.clone());
+            self.job.tried.add(sidecar.target.clone());
             if let Step::Done = self.attempt(sidecar).await {
                 return None;
             }
@@ -127,10 +148,10 @@
             if self.left().is_zero() {
                 return Some(self.at_deadline(last));
             }
-            let Some(sidecar) = self.app.choose(&self.job, &self.tried) else {
+            let Some(sidecar) = self.app.choose(&self.job, &self.job.tried.list()) else {
                 return Some(last);
             };
-            self.tried.push(sidecar.target.clone());
+            self.job.tried.add(sidecar.target.clone());
             match self.attempt(sidecar).await {
                 Step::Done => return None,
                 Step::Fail(refusal) => return Some(worse(last, refusal)),
@@ -233,7 +254,9 @@
             Step::Next(refusal) | Step::Fail(refusal) => match refusal.kind {
                 ErrorKind::NoTarget => Err(Failure::NotReached),
                 ErrorKind::TargetFailed | ErrorKind::AnswerIncomplete => Err(Failure::TargetFailed),
-                ErrorKind::OutcomeUnknown => Err(Failure::Timeout(sent)),
+                ErrorKind::OutcomeUnknown | ErrorKind::DeadlineWhileRunning => {
+                    Err(Failure::Timeout(sent))
+                }
                 _ => return,
             },
         };
@@ -355,8 +378,17 @@
     }
 }
 
+/// Returns true for a frame that the target itself has caused. A failure also comes of a target
+/// that hangs.
+fn is_sign_of_life(frame: &Frame) -> bool {
+    match frame {
+        Frame::Head { .. } | Frame::Data { .. } | Frame::End { .. } => true,
+        Frame::Failed { .. } => false,
+    }
+}
+
 /// Keeps the refusal that knows of a run over one that does not.
-fn worse(last: Refusal, new: Refusal) -> Refusal {
+pub(crate) fn worse(last: Refusal, new: Refusal) -> Refusal {
     if last.outcome() != Ran::NotRun && new.outcome() == Ran::NotRun {
         last
     } else {
@@ -425,6 +457,10 @@
                 }
                 Ok(Ok(frames)) => {
                     lost_since = None;
+                    if frames.iter().any(is_sign_of_life) {
+                        let now = self.app.clock.now();
+                        self.app.fleet.alive(&sidecar.target, now);
+                    }
                     for frame in frames {
                         if let Some(end) = self.take_frame(sidecar, number, frame).await {
                             return end;
--- a/crates/quickstart/src/bin/measure/slopes_inside.rs
+++ b/crates/quickstart/src/bin/measure/slopes_inside.rs
@@ -8,7 +8,9 @@
 
 use cyc_budget::{Reserve, Wallet};
 use cyc_claim::{Claim, State};
-use cyc_config::{Account, ApiKey, Builder, EngineState, Service, Services, Target as Place};
+use cyc_config::{
+    Account, ApiKey, Builder, EngineState, Service, Services, Slots, Target as Place,
+};
 use cyc_ledger::segment::Segment;
 use cyc_proto::{
     GrantId, Receipt,
@@ -279,7 +281,11 @@
             (vm, known.zone),
             (ip, 7_000).into(),
         );
-        builder = builder.with_target(place.with_engine(state.clone()));
+        let slots = Slots {
+            drafting: 16,
+            ..Slots::default()
+        };
+        builder = builder.with_target(place.with_slots(slots).with_engine(state.clone()));
     }
     let started = Instant::now();
     let doc = builder.build().map_err(|e| refused(format!("{e:?}")))?;
--- a/crates/quickstart/src/caller.rs
+++ b/crates/quickstart/src/caller.rs
@@ -67,9 +67,24 @@
         tokens: u64,
         stream: bool,
         headers: &[(&str, &str)],
+    ) -> Result<Reply, Error> {
+        self.chat_with(MODEL, (prompt, tokens), stream, headers)
+            .await
+    }
+
+    /// Asks a model or an adapter for a number of tokens of text.
+    ///
+    /// # Errors
+    /// If no head of an answer comes.
+    pub async fn chat_with(
+        &self,
+        model: &str,
+        (prompt, tokens): (&str, u64),
+        stream: bool,
+        headers: &[(&str, &str)],
     ) -> Result<Reply, Error> {
         let body = json!({
-            "model": MODEL,
+            "model": model,
             "stream": stream,
             "max_tokens": tokens,
             "messages": [{ "role": "user", "content": format!("{prompt} len={tokens}") }],
--- a/crates/quickstart/src/layout.rs
+++ b/crates/quickstart/src/layout.rs
@@ -51,6 +51,11 @@
     pub accounts: Vec<&'static str>,
     /// True if entries connect to sidecars without a relay between them, for measurements.
     pub direct: bool,
+    /// True if status checks are hedged.
+    pub hedge: bool,
+    /// Models and adapters beside [`MODEL`] that the engines should hold, each with a service: an
+    /// adapter is written as `model:adapter`.
+    pub extra_models: Vec<&'static str>,
     /// Arguments of each engine.
     pub engine_args: Vec<String>,
     /// Lines added to the settings of entries, by section.
@@ -67,6 +72,8 @@
             entries: 2,
             accounts: vec!["league", "club"],
             direct: false,
+            hedge: false,
+            extra_models: Vec::new(),
             engine_args: Vec::new(),
             entry_settings: Vec::new(),
             sidecar_settings: Vec::new(),
@@ -90,6 +97,12 @@
         self
     }
 
+    /// Hedges status checks.
+    pub fn with_hedge(mut self) -> Self {
+        self.hedge = true;
+        self
+    }
+
     /// Adds a line to the settings of every entry.
     pub fn with_entry_setting(mut self, section: &'static str, line: impl Into<String>) -> Self {
         self.entry_settings.push((section, line.into()));
@@ -171,13 +184,22 @@
     desks: &[SocketAddr],
 ) -> Result<Document, DocumentError> {
     let writing = Service::new_engine(WRITING.parse()?, MODEL.parse()?, RouteClass::Drafting);
-    let status =
-        Route::new("GET", "/kits/*", RouteClass::Status, STATUS_PRICE).with_idempotent(true);
+    let status = Route::new("GET", "/kits/*", RouteClass::Status, STATUS_PRICE)
+        .with_idempotent(true)
+        .with_hedge(layout.hedge);
     let booking = Route::new("POST", "/bookings", RouteClass::Booking, BOOKING_PRICE);
     let desk = Service::new(DESK.parse()?)
         .with_route(status)
         .with_route(booking);
     let mut builder = Builder::new().with_service(writing).with_service(desk);
+    let mut models = vec![MODEL.parse()?];
+    let mut services = vec![WRITING.parse()?];
+    for name in &layout.extra_models {
+        let service = extra_service(name)?;
+        models.extend(service.chat_name().cloned());
+        services.push(service.id.clone());
+        builder = builder.with_service(service);
+    }
     let slots = Slots {
         status: 32,
         booking: 8,
@@ -186,10 +208,10 @@
     for (n, addr) in engines.iter().enumerate() {
         let place = (format!("vm-engine-{n}").parse()?, zone(n).parse()?);
         let state = EngineState {
-            models: vec![MODEL.parse()?],
+            models: models.clone(),
             ..EngineState::default()
         };
-        let target = Target::new(
+        let mut target = Target::new(
             format!("engine-{n}").parse()?,
             WRITING.parse()?,
             place,
@@ -197,6 +219,7 @@
         )
         .with_slots(slots)
         .with_engine(state);
+        target.services = services.clone();
         builder = builder.with_target(target);
     }
     for (n, addr) in desks.iter().enumerate() {
@@ -221,3 +244,17 @@
     }
     builder.build().map_err(DocumentError::Invalid)
 }
+
+/// Writes the service of a model, or of an adapter given as `model:adapter`.
+fn extra_service(name: &str) -> Result<Service, ParseValueError> {
+    let (model, adapter) = match name.split_once(':') {
+        Some((model, adapter)) => (model, Some(adapter)),
+        None => (name, None),
+    };
+    let id = format!("{WRITING}-{}", adapter.unwrap_or(model)).parse()?;
+    let service = Service::new_engine(id, model.parse()?, RouteClass::Drafting);
+    Ok(match adapter {
+        Some(adapter) => service.with_adapter(adapter.parse()?),
+        None => service,
+    })
+}
--- a/crates/quickstart/tests/e2e/pools.rs
+++ b/crates/quickstart/tests/e2e/pools.rs
@@ -1,1 +1,397 @@
 //! Route classes under load, targets that fail, and orders to engines.
+
+use std::collections::BTreeSet;
+
+use cyc_quickstart::{Deployment, Error, Layout, Reply, TargetKind, deploy::wait_until, layout};
+use cyc_route::prefix;
+use cyc_standin::{
+    client::Client,
+    engine::{Counters, expected_text},
+    process::Signal,
+};
+use googletest::prelude::*;
+use http::Method;
+use serde_json::{Value, json};
+
+use super::support;
+
+const PAID: u64 = 1_000_000;
+/// Status checks of one round.
+const CHECKS: usize = 40;
+/// Prompts whose cache events an entry may take to follow.
+const TRIALS: usize = 30;
+/// Prompts in a row that follow their events, so that chance does not explain them.
+const FOLLOWED: usize = 6;
+
+/// Returns the targets of one kind.
+fn targets(deployment: &Deployment, kind: TargetKind) -> Vec<usize> {
+    let all = deployment.targets.iter().enumerate();
+    all.filter(|(_, slot)| slot.kind == kind)
+        .map(|(index, _)| index)
+        .collect()
+}
+
+fn admin(deployment: &Deployment, index: usize) -> Client {
+    Client::new(deployment.targets[index].target.addr())
+}
+
+async fn set_faults(deployment: &Deployment, index: usize, faults: &Value) -> Result<()> {
+    let answer = admin(deployment, index)
+        .send_json(Method::PUT, "/admin/faults", faults)
+        .await?;
+    verify_that!(answer.status.is_success(), eq(true))
+}
+
+async fn counters(deployment: &Deployment, index: usize) -> std::result::Result<Counters, Error> {
+    Ok(admin(deployment, index)
+        .get("/admin/counters")
+        .await?
+        .json()?)
+}
+
+/// Returns how many runs an engine or a service has started.
+async fn runs(deployment: &Deployment, index: usize) -> std::result::Result<u64, Error> {
+    let counters: Value = admin(deployment, index)
+        .get("/admin/counters")
+        .await?
+        .json()?;
+    Ok(match &counters["runs"] {
+        Value::Object(runs) => runs.values().filter_map(Value::as_u64).sum(),
+        runs => runs.as_u64().unwrap_or_default(),
+    })
+}
+
+async fn load(deployment: &Deployment, index: usize) -> std::result::Result<Value, Error> {
+    Ok(admin(deployment, index).get("/v1/load").await?.json()?)
+}
+
+/// Sends status checks at both entries in turn and returns how many gave a whole answer.
+async fn check_status(deployment: &Deployment, account: &str, label: &str) -> usize {
+    let checks = (0..CHECKS).map(|n| {
+        let caller = deployment.caller(n % deployment.entries.len(), account);
+        async move { caller.status(&format!("{label}-{n}"), &[]).await }
+    });
+    let replies = futures::future::join_all(checks).await;
+    replies
+        .into_iter()
+        .filter(|reply| reply.as_ref().is_ok_and(|reply| reply.complete))
+        .count()
+}
+
+/// Sends drafts at both entries in turn, all at once.
+async fn draft(
+    deployment: &Deployment,
+    account: &str,
+    count: usize,
+    (tokens, headers): (u64, &[(&str, &str)]),
+) -> Vec<std::result::Result<Reply, cyc_standin::client::Error>> {
+    let drafts = (0..count).map(|n| {
+        let caller = deployment.caller(n % deployment.entries.len(), account);
+        async move {
+            let prompt = format!("Draft {n}.");
+            caller.chat(&prompt, tokens, n % 2 == 0, headers).await
+        }
+    });
+    futures::future::join_all(drafts).await
+}
+
+fn whole_drafts(
+    replies: &[std::result::Result<Reply, cyc_standin::client::Error>],
+    tokens: u64,
+) -> usize {
+    let is_whole = |(n, reply): &(usize, &std::result::Result<Reply, _>)| {
+        let wanted = expected_text(&format!("Draft {n}. len={tokens}"), tokens);
+        reply
+            .as_ref()
+            .is_ok_and(|reply: &Reply| reply.complete && reply.text == wanted)
+    };
+    replies.iter().enumerate().filter(is_whole).count()
+}
+
+#[gtest]
+#[tokio::test]
+async fn status_checks_answer_while_all_drafting_slots_are_taken() -> Result<()> {
+    let layout = Layout::default()
+        .with_entry_setting("limits", "drafting_slots = 4")
+        .with_sidecar_setting("limits", "drafting_slots = 4");
+    let deployment = Deployment::start(layout).await?;
+    deployment.top_up("league", "payment-1", PAID).await?;
+    for index in targets(&deployment, TargetKind::Engine) {
+        set_faults(&deployment, index, &json!({ "token_delay": 50 })).await?;
+    }
+    let drafting = draft(&deployment, "league", 16, (40, &[]));
+    let checking = async {
+        wait_until("all slots of the entries are taken", || async {
+            let mut running = 0;
+            for index in targets(&deployment, TargetKind::Engine) {
+                running += runs(&deployment, index).await.unwrap_or_default();
+            }
+            running >= 8
+        })
+        .await?;
+        let answered = check_status(&deployment, "league", "kit").await;
+        Ok::<usize, Error>(answered)
+    };
+    let (drafts, answered) = tokio::join!(drafting, checking);
+    expect_that!(answered?, eq(CHECKS));
+    expect_that!(whole_drafts(&drafts, 40), eq(16), "{drafts:?}");
+    for index in targets(&deployment, TargetKind::Desk) {
+        expect_that!(runs(&deployment, index).await?, gt(0), "desk {index}");
+    }
+    for index in targets(&deployment, TargetKind::Engine) {
+        expect_that!(runs(&deployment, index).await?, gt(0), "engine {index}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_flooding_account_does_not_keep_a_small_one_out() -> Result<()> {
+    let layout = Layout::default()
+        .with_entry_setting("limits", "drafting_slots = 4")
+        .with_entry_setting("limits", "queue = 8")
+        .with_sidecar_setting("limits", "drafting_slots = 4")
+        .with_sidecar_setting("limits", "queue = 8");
+    let deployment = Deployment::start(layout).await?;
+    deployment.top_up("league", "payment-1", PAID).await?;
+    deployment.top_up("club", "payment-2", PAID).await?;
+    for index in targets(&deployment, TargetKind::Engine) {
+        set_faults(&deployment, index, &json!({ "token_delay": 5 })).await?;
+    }
+    let flood = draft(&deployment, "league", 120, (20, &[]));
+    let small = async {
+        wait_until("the flood has started", || async {
+            let mut running = 0;
+            for index in targets(&deployment, TargetKind::Engine) {
+                running += runs(&deployment, index).await.unwrap_or_default();
+            }
+            running >= 8
+        })
+        .await?;
+        let mut whole = 0;
+        for n in 0..10 {
+            let caller = deployment.caller(n % 2, "club");
+            let reply = caller.chat("Club night.", 5, true, &[]).await?;
+            whole += usize::from(reply.complete);
+        }
+        Ok::<usize, Error>(whole)
+    };
+    let (flooded, small) = tokio::join!(flood, small);
+    expect_that!(small?, eq(10));
+    let refused = flooded.iter().flatten().filter(|reply| !reply.complete);
+    for reply in refused {
+        let outcome = reply.outcome();
+        expect_that!(outcome, some(eq(cyc_types::Outcome::NotRun)), "{reply:?}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_failing_desk_is_ejected_and_the_other_serves() -> Result<()> {
+    for faults in [
+        json!({ "hang": true }),
+        json!({ "status": 500 }),
+        json!({ "break_answer": true }),
+    ] {
+        let deployment = Deployment::start(Layout::default()).await?;
+        deployment.top_up("league", "payment-1", PAID).await?;
+        let desk = targets(&deployment, TargetKind::Desk)[0];
+        set_faults(&deployment, desk, &faults).await?;
+        for round in 0..4 {
+            let answered = check_status(&deployment, "league", &format!("kit-{round}")).await;
+            expect_that!(answered, eq(CHECKS), "{faults} round {round}");
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_failing_engine_is_ejected_and_the_other_serves() -> Result<()> {
+    for faults in [
+        json!({ "hang": true }),
+        json!({ "status": 500 }),
+        json!({ "refuse": true }),
+    ] {
+        let deployment = Deployment::start(Layout::default()).await?;
+        deployment.top_up("league", "payment-1", PAID).await?;
+        let engine = targets(&deployment, TargetKind::Engine)[0];
+        set_faults(&deployment, engine, &faults).await?;
+        // A draft that has no answer within its deadline is lost to its caller; the target is then
+        // ejected at each entry.
+        let headers: &[(&str, &str)] = &[("x-deadline-ms", "1500")];
+        draft(&deployment, "league", 40, (5, headers)).await;
+        let before = runs(&deployment, engine).await?;
+        let drafts = draft(
+            &deployment,
+            "league",
+            20,
+            (5, &[("x-deadline-ms", "20000")]),
+        )
+        .await;
+        let probes = runs(&deployment, engine).await? - before;
+        // Each entry may send a probe.
+        expect_that!(probes, le(2), "{faults}");
+        expect_that!(whole_drafts(&drafts, 5) as u64, ge(20 - probes), "{faults}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn slow_engines_are_not_ejected_and_long_drafts_finish_whole() -> Result<()> {
+    let deployment = Deployment::start(Layout::default()).await?;
+    deployment.top_up("league", "payment-1", PAID).await?;
+    for index in targets(&deployment, TargetKind::Engine) {
+        set_faults(
+            &deployment,
+            index,
+            &json!({ "token_delay": 30, "late": 300 }),
+        )
+        .await?;
+    }
+    for _ in 0..2 {
+        let drafts = draft(&deployment, "league", 12, (100, &[])).await;
+        expect_that!(whole_drafts(&drafts, 100), eq(12), "{drafts:?}");
+    }
+    for index in targets(&deployment, TargetKind::Engine) {
+        expect_that!(runs(&deployment, index).await?, gt(0), "engine {index}");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_frozen_sidecar_does_not_stop_status_checks() -> Result<()> {
+    let deployment = Deployment::start(Layout::default()).await?;
+    deployment.top_up("league", "payment-1", PAID).await?;
+    expect_that!(
+        check_status(&deployment, "league", "before").await,
+        eq(CHECKS)
+    );
+    let desk = targets(&deployment, TargetKind::Desk)[0];
+    deployment.signal_sidecar(desk, Signal::Stop)?;
+    for round in 0..3 {
+        let answered = check_status(&deployment, "league", &format!("kit-{round}")).await;
+        expect_that!(answered, eq(CHECKS), "round {round}");
+    }
+    deployment.signal_sidecar(desk, Signal::Cont)?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_hedged_check_is_answered_beside_a_hanging_desk_and_billed_once() -> Result<()> {
+    let deployment = Deployment::start(Layout::default().with_hedge()).await?;
+    deployment.top_up("league", "payment-1", PAID).await?;
+    let desk = targets(&deployment, TargetKind::Desk)[0];
+    let slow = json!({ "slow": 3_000, "times": 4 });
+    set_faults(&deployment, desk, &slow).await?;
+    expect_that!(check_status(&deployment, "league", "kit").await, eq(CHECKS));
+    expect_that!(support::desk_runs(&deployment).await?, gt(CHECKS as u64));
+    support::wait_billed(&deployment, "league", CHECKS as u64).await?;
+    Ok(())
+}
+
+/// Warms the cache of an engine that an entry would not choose, and returns true if the entry then
+/// sends a prompt with the same opening there.
+async fn follows_cache(deployment: &Deployment, trial: usize) -> std::result::Result<bool, Error> {
+    let engines = targets(deployment, TargetKind::Engine);
+    let caller = deployment.caller(0, "league");
+    let opening = format!("Rules of quiz night {trial}, read to every team. ").repeat(60);
+    // The first block alone makes the candidates, so this shows where the entry sends such a
+    // prompt when it knows of no more than one cached block.
+    let mut before = Vec::new();
+    for index in &engines {
+        before.push(runs(deployment, *index).await?);
+    }
+    caller
+        .chat(&opening[..prefix::BLOCK_BYTES], 1, false, &[])
+        .await?;
+    let mut other = None;
+    for (index, before) in engines.iter().zip(before) {
+        if runs(deployment, *index).await? == before {
+            other = Some(*index);
+        }
+    }
+    let Some(other) = other else {
+        return Ok(false);
+    };
+    let body = json!({
+        "model": layout::MODEL,
+        "messages": [{ "role": "user", "content": format!("{opening}len=1") }],
+    });
+    admin(deployment, other)
+        .send_json(Method::POST, "/v1/chat/completions", &body)
+        .await?;
+    // The event is late; requests pass in the meantime.
+    for n in 0..50 * (trial + 1) {
+        caller.status(&format!("kit-{n}"), &[]).await?;
+    }
+    let warmed = runs(deployment, other).await?;
+    caller.chat(&format!("{opening}Go."), 1, false, &[]).await?;
+    Ok(runs(deployment, other).await? > warmed)
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_late_cache_event_draws_the_prompt_to_its_engine() -> Result<()> {
+    let deployment = Deployment::start(Layout::default()).await?;
+    deployment.top_up("league", "payment-1", PAID).await?;
+    for index in targets(&deployment, TargetKind::Engine) {
+        set_faults(&deployment, index, &json!({ "events_late": 200 })).await?;
+    }
+    let mut in_a_row = 0;
+    for trial in 0..TRIALS {
+        in_a_row = match follows_cache(&deployment, trial).await? {
+            true => in_a_row + 1,
+            false => 0,
+        };
+        if in_a_row == FOLLOWED {
+            return Ok(());
+        }
+    }
+    fail!("the entry followed the events {in_a_row} times in a row")
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_submitted_model_and_adapter_are_loaded_and_served() -> Result<()> {
+    let mut deployment = Deployment::start(Layout::default()).await?;
+    deployment.top_up("league", "payment-1", PAID).await?;
+    let engines = targets(&deployment, TargetKind::Engine);
+    for index in &engines {
+        expect_that!(counters(&deployment, *index).await?.orders.len(), eq(0));
+    }
+    deployment.layout.extra_models = vec!["translator", "writer:quiz-kk"];
+    deployment.submit().await?;
+    wait_until("every engine holds the model and the adapter", || async {
+        let mut all = true;
+        for index in &engines {
+            let load = load(&deployment, *index).await.unwrap_or_default();
+            all &= load["models"].get("translator").is_some();
+            all &= load["adapters"] == json!(["writer:quiz-kk"]);
+        }
+        all
+    })
+    .await?;
+    for model in ["translator", "quiz-kk"] {
+        let caller = deployment.caller(0, "league");
+        wait_until("chats with the model are served", || async {
+            let reply = caller.chat_with(model, ("Salem.", 4), false, &[]).await;
+            reply.is_ok_and(|reply| reply.text == expected_text("Salem. len=4", 4))
+        })
+        .await?;
+    }
+    for index in &engines {
+        let counters = counters(&deployment, *index).await?;
+        let accepted = counters.orders.iter().all(|order| order.accepted);
+        expect_that!(accepted, eq(true), "{:?}", counters.orders);
+        let fences: BTreeSet<u64> = counters.orders.iter().map(|o| o.order.fencing).collect();
+        expect_that!(fences.len(), eq(counters.orders.len()));
+        let load = load(&deployment, *index).await?;
+        expect_that!(load["models"].get("writer").is_some(), eq(true));
+    }
+    Ok(())
+}
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -175,7 +175,8 @@
 fn chat_not_started(error: Error) -> Ending {
     match error {
         Error::NotSent(why) => Ending::failed(ErrorKind::NoTarget, why),
-        Error::Refused(status @ (429 | 503), why) => {
+        // 404: the model is not loaded yet, so that the request may run later or elsewhere.
+        Error::Refused(status @ (404 | 429 | 503), why) => {
             Ending::failed(ErrorKind::Overloaded, format!("{status}: {why}"))
         }
         Error::Refused(status @ 400..=499, why) => {
@@ -297,6 +298,11 @@
 fn called(run: &Run, answer: Result<CallAnswer, Error>) -> Ending {
     let price = run.req.reserved;
     match answer {
+        // Another target may answer an idempotent call better.
+        Ok(answer) if run.req.idempotent && answer.status >= 500 => Ending::failed(
+            ErrorKind::TargetFailed,
+            format!("the target answered {}", answer.status),
+        ),
         Ok(answer) => {
             let CallAnswer {
                 status,
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -6,7 +6,12 @@
     process::ExitCode,
 };
 
-use axum::{Router, body::Body, response::Response};
+use axum::{
+    Router,
+    body::Body,
+    response::Response,
+    serve::{Listener, ListenerExt as _},
+};
 use bytes::Bytes;
 use tokio::{
     net::TcpListener,
@@ -37,7 +42,7 @@
         let addr = listener.local_addr()?;
         let task = tokio::spawn(async move {
             // Serving ends only with the task.
-            let _ = axum::serve(listener, router).await;
+            let _ = axum::serve(without_delay(listener), router).await;
         });
         Ok(Self { addr, task })
     }
@@ -65,12 +70,20 @@
     println!("listening on {}", listener.local_addr()?);
     // No drain: a stand-in with the fault `hang` has connections that never end.
     tokio::select! {
-        served = async { axum::serve(listener, router).await } => served,
+        served = async { axum::serve(without_delay(listener), router).await } => served,
         _ = terminate.recv() => Ok(()),
         _ = interrupt.recv() => Ok(()),
     }
 }
 
+/// Sends small pieces of a stream at once, as engines do.
+fn without_delay(listener: TcpListener) -> impl Listener<Addr = SocketAddr> {
+    listener.tap_io(|stream| {
+        // Without it answers are only later.
+        let _ = stream.set_nodelay(true);
+    })
+}
+
 /// Prints the error of a program on stderr and returns the code to exit with.
 pub fn exit_code(outcome: io::Result<()>) -> ExitCode {
     match outcome {
