--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -13,6 +13,8 @@
 
 /// Time that a sidecar has beyond the deadline to say that the deadline passed.
 const ANSWER_GRACE: Millis = Millis::new(1_000);
+/// How long one question for the outcome may wait for its answer.
+const ASK_TIMEOUT: Millis = Millis::new(1_000);
 /// First wait before an attempt's outcome is asked for again.
 const FIRST_WAIT: Millis = Millis::new(20);
 /// Longest wait before an attempt's outcome is asked for again.
@@ -108,7 +110,11 @@
 /// If the sidecar cannot be asked.
 pub async fn ask(sidecar: &Sidecar, query: OutcomeQuery) -> Result<Option<Outcome>, LinkError> {
     let client = sidecar.link.client().await?;
-    let reply = client.outcome(query).await.map_err(LinkError::from)?;
+    // A question that is given up may still arrive; then it bars the attempt, which is right.
+    let reply = tokio::time::timeout(ASK_TIMEOUT.duration(), client.outcome(query))
+        .await
+        .map_err(|_| LinkError::NoAnswer("timeout".into()))?
+        .map_err(LinkError::from)?;
     Ok(match reply {
         OutcomeReply::Waiting => None,
         OutcomeReply::Here { mine: true } => Some(Outcome::Started),
