entry: the books free the whole reservation of a second run

Before and after: with the use of a duplicate taken from the wallet on purpose, the test failed; without, it passes. Also seen failing on purpose: the reader without its check of the run.

--- a/crates/entry/tests/entry/books.rs
+++ b/crates/entry/tests/entry/books.rs
@@ -95,6 +95,11 @@
         Ok(receipt)
     }
 
+    fn free(&self) -> Tokens {
+        self.purse
+            .with_wallet(|wallet| wallet.holding(&self.budget).free)
+    }
+
     fn reserved(&self) -> Tokens {
         self.purse
             .with_wallet(|wallet| wallet.holding(&self.budget).reserved)
@@ -139,7 +144,10 @@
     expect_that!(bed.reserved(), eq(RESERVED + RESERVED));
     expect_that!(bed.books.post(&bed.sidecar, &second), eq(Billed::Taken));
     expect_that!(bed.reserved(), eq(RESERVED));
+    // Nothing is awaited from here on, so that no draw comes between.
+    let free = bed.free();
     expect_that!(bed.books.post(&bed.sidecar, &first), eq(Billed::Duplicate));
+    expect_that!(bed.free(), eq(free + RESERVED));
     expect_that!(bed.reserved(), eq(Tokens::ZERO));
     expect_that!(bed.books.open_attempts(), eq(0));
     Ok(())
