Borrow tokens from peers while the platform is out

Cause: an entry without tokens refused every request while the store was out, although its peers held enough. Ruled out: asking by timer of the request; the purse knows since when the platform is asked without an answer. Lending all that is free; half stays unless the borrower needs more. Conclusion: loans lost on the way stay in the lender's grant.

--- a/crates/budget/src/batch.rs
+++ b/crates/budget/src/batch.rs
@@ -51,6 +51,7 @@
 ) -> Result<Outcome, Error> {
     let read = {
         let mut state = shared.lock();
+        state.asking_since.get_or_insert(shared.clock.now());
         state.last_read += 1;
         state.last_read
     };
--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -223,6 +223,9 @@
             match result {
                 Ok(outcome) => finish(shared, queue, outcome),
                 Err(error) => {
+                    if error == Error::Conflict {
+                        shared.lock().asking_since = None;
+                    }
                     back_off(queue, &self.options, &error);
                     let mut budgets = queue.pending.iter().map(Pending::budget);
                     if budgets.any(|budget| shared.lock().has_waiters(budget)) {
@@ -273,6 +276,7 @@
     let pending = std::mem::take(&mut queue.pending);
     let now = shared.clock.now();
     shared.update(|state| {
+        state.asking_since = None;
         state.known.extend(outcome.known);
         for (pending, result) in pending.into_iter().zip(outcome.results) {
             match (pending, result) {
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -6,6 +6,7 @@
 mod batch;
 pub mod close;
 pub mod keeper;
+pub mod lack;
 mod loan;
 pub mod op;
 pub mod policy;
@@ -17,6 +18,7 @@
 
 pub use close::CloseReport;
 pub use keeper::{Keeper, Known};
+pub use lack::Lack;
 pub use op::{Applied, Op, OpError, apply};
 pub use policy::Policy;
 pub use purse::Purse;
--- a/crates/budget/src/purse.rs
+++ b/crates/budget/src/purse.rs
@@ -12,6 +12,7 @@
 use crate::{
     close::CloseReport,
     keeper::{Command, Known},
+    lack::Lack,
     op::{Applied, Op, OpError},
     policy,
     wallet::{HolderOp, Reservation, Reserve, Wallet},
@@ -27,7 +28,7 @@
 /// The handle of a wallet that requests and the controllers share.
 #[derive(Debug, Clone)]
 pub struct Purse {
-    shared: Arc<Shared>,
+    pub(crate) shared: Arc<Shared>,
     tx: mpsc::UnboundedSender<Command>,
 }
 
@@ -46,6 +47,8 @@
     pub(crate) known: BTreeMap<BudgetId, Known>,
     /// Number of the last read of a shard that was started.
     pub(crate) last_read: u64,
+    /// Since when the platform is asked without an answer.
+    pub(crate) asking_since: Option<Millis>,
     queues: BTreeMap<BudgetId, VecDeque<Waiter>>,
     next_ticket: u64,
 }
@@ -84,6 +87,7 @@
             wallet: Wallet::new(me),
             known: BTreeMap::new(),
             last_read: 0,
+            asking_since: None,
             queues: BTreeMap::new(),
             next_ticket: 0,
         };
@@ -172,6 +176,19 @@
         }
     }
 
+    /// Returns what the waiting requests lack, by budget.
+    pub(crate) fn waiting(&self) -> Vec<Lack> {
+        let lack = |(budget, queue): (&BudgetId, &VecDeque<Waiter>)| {
+            let least = queue.iter().map(|waiter| waiter.worst).min()?;
+            Some(Lack {
+                budget: budget.clone(),
+                least,
+                all: queue.iter().map(|waiter| waiter.worst).sum(),
+            })
+        };
+        self.queues.iter().filter_map(lack).collect()
+    }
+
     /// Returns true if requests wait for tokens of a budget.
     pub(crate) fn has_waiters(&self, budget: &BudgetId) -> bool {
         self.queues
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -6,6 +6,7 @@
 pub mod follow;
 pub mod gauges;
 pub mod heartbeat;
+pub mod lend;
 pub mod merge;
 pub mod reclaim;
 pub mod release;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -18,7 +18,7 @@
     api,
     app::{App, Options, Parts},
     books::Books,
-    control,
+    control::{self, lend::Lender},
     fleet::Fleet,
     listen,
     peer::Rpc,
@@ -104,6 +104,9 @@
     let window = settings.ledger.retry_window;
     tokio::spawn(control::merge::run(app.clone(), platform.clone(), window));
     let seeds = settings.peers.seeds.clone();
+    let idle = settings.budget.idle;
+    let lender = Arc::new(Lender::new(app.clone(), key.clone(), &seeds, idle));
+    tokio::spawn(lender.clone().run(platform.clone()));
     tokio::spawn(control::follow::run(app.clone(), platform, seeds, key));
 
     println!("listening on {}", caller_listener.local_addr()?);
@@ -116,7 +119,7 @@
         signal = cyc_obs::shutdown() => signal.map(|()| false)?,
         _ = fenced.wait_for(|fenced| *fenced) => true,
     };
-    shut_down(&app, settings.process.drain_limit, stop).await;
+    shut_down(&app, &lender, settings.process.drain_limit, stop).await;
     serving.await.map_err(io::Error::other)??;
     server.stop().ok();
     if is_fenced {
@@ -204,7 +207,7 @@
 }
 
 /// Refuses new requests, finishes those in flight, then writes and returns what is left.
-async fn shut_down(app: &App, limit: Millis, stop: watch::Sender<bool>) {
+async fn shut_down(app: &App, lender: &Lender, limit: Millis, stop: watch::Sender<bool>) {
     let until = app.clock.now() + limit;
     app.drain();
     spdlog::info!("event=draining in_flight={}", app.in_flight());
@@ -215,6 +218,7 @@
     tokio::time::sleep(CONNECTION_NOTICE.duration()).await;
     stop.send_replace(true);
     let left = || until.saturating_sub(app.clock.now()).max(Millis::SECOND);
+    lender.repay_all().await;
     let ledger = app.ledger.close(left()).await;
     if ledger.unflushed + ledger.unsettled > 0 {
         spdlog::error!(
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -240,6 +240,9 @@
             Outcome::NotRun(refusal) => {
                 self.keep_reservation(number);
                 if refusal.kind == ErrorKind::Fenced {
+                    if let Some(refusal) = self.forget_loan() {
+                        return Step::Next(refusal);
+                    }
                     self.app.on_fenced();
                 }
                 if may_go_on(refusal.kind) {
@@ -296,6 +299,17 @@
             .await
     }
 
+    /// Drops a loan whose lender is fenced; `None` if this entry's own grant was to pay.
+    fn forget_loan(&mut self) -> Option<Refusal> {
+        let from_peer = |one: &mut Reservation| one.grant.holder != self.app.me;
+        let reservation = self.reservation.take_if(from_peer)?;
+        let grant = reservation.grant.clone();
+        self.app.purse.release(reservation);
+        self.app.purse.with_wallet(|wallet| wallet.forget(&grant));
+        let detail = format!("{} lent the tokens and is fenced", grant.holder);
+        Some(Refusal::new(ErrorKind::BudgetUnreachable, detail))
+    }
+
     /// Takes the reservation of an attempt that does not run back for the next one.
     fn keep_reservation(&mut self, number: u64) {
         if let Some(reservation) = self.app.books.take(self.job.request, number) {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -34,10 +34,12 @@
             });
         }
         let borrower = (req.borrower, req.loan);
-        let loan = self
-            .app
-            .purse
-            .with_wallet(|wallet| wallet.lend(borrower, &req.budget, req.want, req.least));
+        let loan = self.app.purse.with_wallet(|wallet| {
+            // Half stays for the requests that come here, unless the borrower needs more.
+            let half = Tokens::new(wallet.own_free(&req.budget).get() / 2);
+            let want = req.want.min(half.max(req.least));
+            wallet.lend(borrower, &req.budget, want, req.least)
+        });
         Ok(match loan {
             Some((grant, lent)) => LendReply {
                 grant: Some(grant),
--- a/crates/quickstart/tests/e2e/money.rs
+++ b/crates/quickstart/tests/e2e/money.rs
@@ -1,27 +1,24 @@
 //! Money under faults: the store, the entries and the sidecars fail while requests are billed.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use cyc_budget::{Record, SHARDS, Shard, shard::shard_key, shard_of};
+use cyc_member::{Contacts, contacts};
 use cyc_platform::Platform as _;
-use cyc_proto::{Link, ProcessKey, peer::PeerClient as _};
 use cyc_quickstart::{
     Deployment, Error, Layout,
     caller::{Caller, Reply},
     deploy::wait_until,
-    layout::{BOOKING_PRICE, PROCESS_KEY, STATUS_PRICE},
+    layout::{BOOKING_PRICE, STATUS_PRICE},
 };
 use cyc_standin::{
     client::Client,
     process::{Process, Signal},
 };
-use cyc_types::{BudgetId, ErrorKind};
+use cyc_types::{BudgetId, ErrorKind, Incarnation};
 use futures::future::join_all;
 use googletest::prelude::*;
 use http::Method;
@@ -440,35 +437,22 @@
     watch.finish("last tokens").await
 }
 
-/// Returns the addresses at which entries serve peers.
-async fn peer_addrs(deployment: &Deployment) -> Result<Vec<SocketAddr>> {
+/// Waits until an incarnation of entry 0 has recorded these incarnations of the engines' sidecars
+/// as its contacts, and so has nothing open with earlier ones.
+async fn wait_contacts(deployment: &Deployment, entry: u64, number: u64) -> Result<()> {
     let platform = deployment.platform_client();
-    let members = cyc_member::list(&platform, cyc_member::Role::Entry).await;
-    let members = members.map_err(|error| Error::Refused(error.to_string()))?;
-    Ok(members.iter().map(|member| member.addr).collect())
-}
-
-/// Waits until all entries have had a heartbeat answered by these incarnations of the engines'
-/// sidecars.
-async fn wait_heard(deployment: &Deployment, number: u64) -> Result<()> {
-    for addr in peer_addrs(deployment).await? {
-        let link = Link::new(addr, ProcessKey::new(PROCESS_KEY));
-        wait_until("the entry hears the sidecars", || async {
-            let Ok(client) = link.client().await else {
-                return false;
-            };
-            let Ok(status) = client.status().await else {
-                return false;
-            };
-            let mut sidecars = status.sidecars.iter();
-            sidecars.all(|one| {
-                let known = one.sidecar.as_ref().map(|sidecar| sidecar.number);
-                !one.target.as_str().starts_with("engine") || known == Some(number)
-            })
+    let key = contacts::key(&Incarnation::new("vm-entry-0".parse()?, entry));
+    let waited = wait_until("the contacts are recorded", || async {
+        let object = platform.get(&key).await.ok().flatten();
+        let contacts = object.and_then(|o| serde_json::from_slice::<Contacts>(&o.body).ok());
+        contacts.is_some_and(|contacts| {
+            let engines = contacts.sidecars.iter();
+            let engines = engines.filter(|(target, _)| target.as_str().starts_with("engine"));
+            let current = engines.filter(|(_, sidecar)| sidecar.number == number);
+            current.count() == deployment.layout.engines
         })
-        .await?;
-    }
-    Ok(())
+    });
+    Ok(waited.await?)
 }
 
 /// Kills the sidecars of all engines and waits for their ends.
@@ -501,7 +485,7 @@
     for index in 0..deployment.layout.engines {
         deployment.restart_sidecar(index).await?;
     }
-    wait_heard(&deployment, 2).await?;
+    wait_contacts(&deployment, 1, 2).await?;
     kill_entry(&mut deployment, 0).await?;
     deployment.restart_entry(0).await?;
     deployment.wait_ready().await?;
@@ -533,7 +517,7 @@
         account.is_some_and(|account| account.balance.unresolved == held)
     })
     .await?;
-    wait_heard(&deployment, 3).await?;
+    wait_contacts(&deployment, 3, 3).await?;
     // Rounds of reclaim go on, as another grant shows, and the tokens stay listed.
     let other = deployment.caller(0, "club");
     expect_that!(burst(&[other], 1, "club").await?.served, eq(1));
@@ -546,3 +530,82 @@
     expect_that!(record.settled.get(), eq(0));
     watch.finish("both killed").await
 }
+
+/// Waits until an entry may send work to every target.
+async fn wait_all_contacts(deployment: &Deployment, vm: &str) -> Result<()> {
+    let platform = deployment.platform_client();
+    let key = contacts::key(&Incarnation::new(vm.parse()?, 1));
+    let waited = wait_until("all contacts are recorded", || async {
+        let object = platform.get(&key).await.ok().flatten();
+        let contacts = object.and_then(|o| serde_json::from_slice::<Contacts>(&o.body).ok());
+        contacts.is_some_and(|contacts| contacts.sidecars.len() == deployment.targets.len())
+    });
+    Ok(waited.await?)
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_entry_without_tokens_borrows_while_the_store_is_out_and_repays() -> Result<()> {
+    let layout = Layout::default()
+        .with_entry_setting("budget", "policy = equal")
+        .with_entry_setting("budget", "reserve_ms = 5000")
+        .with_entry_setting("budget", "idle_ms = 600000");
+    let mut deployment = Deployment::start(layout).await?;
+    deployment.top_up("league", "first", 1_000).await?;
+    let donor = [deployment.caller(0, "league")];
+    let borrower = [deployment.caller(1, "league")];
+    expect_that!(burst(&donor, 1, "before").await?.served, eq(1));
+    wait_all_contacts(&deployment, "vm-entry-1").await?;
+    let watch = Watch::start(&deployment, "league")?;
+    set_faults(&deployment, &json!({ "outage": true })).await?;
+    let borrowed = burst(&borrower, 30, "borrowed").await?;
+    expect_that!(borrowed.served, eq(30), "{borrowed:?}");
+    let both = burst(&[donor[0].clone(), borrower[0].clone()], 40, "both").await?;
+    expect_that!(both.served, eq(40), "{both:?}");
+    set_faults(&deployment, &json!({})).await?;
+    support::wait_billed(&deployment, "league", 71).await?;
+
+    // The borrower ends first: what it did not use goes back to the donor, and from there to the
+    // shard.
+    deployment.signal_entry(1, Signal::Term)?;
+    let process = deployment.entries[1].process.take().or_fail()?;
+    expect_that!(end_of(process).await?, some(eq(0)));
+    deployment.stop().await?;
+    let record = support::record(&deployment, "league").await?;
+    expect_that!((record.granted().get(), record.free().get()), eq((0, 929)));
+    watch.finish("lending").await
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_borrower_survives_the_fence_of_its_lender() -> Result<()> {
+    let layout = Layout::default()
+        .with_entry_setting("ledger", "vm_absence_ms = 300")
+        .with_entry_setting("budget", "policy = equal")
+        .with_entry_setting("budget", "reserve_ms = 5000")
+        .with_entry_setting("budget", "idle_ms = 600000");
+    let deployment = Deployment::start(layout).await?;
+    deployment.top_up("league", "first", 1_000).await?;
+    let donor = [deployment.caller(0, "league")];
+    let borrower = [deployment.caller(1, "league")];
+    expect_that!(burst(&donor, 1, "before").await?.served, eq(1));
+    wait_all_contacts(&deployment, "vm-entry-1").await?;
+    let watch = Watch::start(&deployment, "league")?;
+    set_faults(&deployment, &json!({ "outage": true })).await?;
+    let borrowed = burst(&borrower, 30, "borrowed").await?;
+    expect_that!(borrowed.served, eq(30), "{borrowed:?}");
+    set_faults(&deployment, &json!({})).await?;
+    support::wait_billed(&deployment, "league", 31).await?;
+    deployment.signal_entry(0, Signal::Stop)?;
+    deployment.set_vms(&[1]).await?;
+    wait_reclaimed(&deployment, "league", "vm-entry-0", 2).await?;
+    // The loan is worth nothing now; requests are paid by the entry's own grant, one by one first.
+    for n in 0..5 {
+        let reply = borrower[0].status(&format!("single-{n}"), &[]).await?;
+        expect_that!(reply.complete, eq(true), "{reply:?}");
+    }
+    let after = burst(&borrower, 30, "after").await?;
+    expect_that!(after.served, eq(30), "{after:?}");
+    support::wait_billed(&deployment, "league", 66).await?;
+    watch.finish("lender fenced").await
+}
