--- /dev/null
+++ b/crates/budget/examples/policies/main.rs
@@ -0,0 +1,66 @@
+//! Overspend and false refusals of the grant policies, in paused time over the store stand-in.
+//!
+//! `cargo run -p cyc-budget --example policies`
+
+mod bench;
+mod sizes;
+mod way;
+
+use cyc_budget::{Policy, policy::Options};
+use cyc_types::Tokens;
+
+use bench::{Fault, Figures};
+use sizes::{DALA, HANBIT};
+
+/// The amount of a fixed draw: about a minute of a small account.
+const FIXED: Tokens = Tokens::new(10_000);
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!(
+        "| size | fault | policy | requests | overspend tokens | false refusals | tokens of them | tokens left |"
+    );
+    println!("| --- | --- | --- | ---: | ---: | ---: | ---: | ---: |");
+    for size in [DALA, HANBIT] {
+        for fault in Fault::ALL {
+            let policies = [
+                (Policy::Equal, false),
+                (Policy::Fixed, false),
+                (Policy::Adaptive, false),
+                (Policy::Adaptive, true),
+            ];
+            for (policy, lending) in policies {
+                let draws = Options {
+                    policy,
+                    fixed: FIXED,
+                    ..Options::default()
+                };
+                let figures = run(&size, fault, draws, lending)?;
+                let name = if lending { ", lending" } else { "" };
+                println!(
+                    "| {} | {} | {policy}{name} | {} | {} | {} | {} | {} |",
+                    size.name,
+                    fault.name(),
+                    figures.requests,
+                    figures.overspent,
+                    figures.refused,
+                    figures.refused_tokens,
+                    figures.left,
+                );
+            }
+        }
+    }
+    Ok(())
+}
+
+fn run(
+    size: &sizes::Size,
+    fault: Fault,
+    draws: Options,
+    lending: bool,
+) -> Result<Figures, Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()?;
+    runtime.block_on(bench::run(size, fault, draws, lending))
+}
