Bill a stored answer again only when its claimant cannot give it; wait for a first target

Cause: a retry that met another sidecar was answered from the durable claim with a second bill while the first one lived (276 billed in place of 176 until the merge); an entry that had just started refused its first request as no_target before its contacts were recorded; a failed answer found at a candidate was followed by an answer of another target. Ruled out: no bill on replay (the bill of a dead claimant would be lost). Change: a done claim names its claimant, and the entry asks for the stored answer only if that one does not give it; the forwarder waits up to 2 s for a first target; a failure of the found run ends the request. Conclusion: one bill a request without waiting for the merge.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -29,6 +29,10 @@
 const RESOLVE_WAIT: Millis = Millis::new(2_000);
 /// How long a sidecar that runs the request may stay out of reach before it is given up.
 const LOST_WAIT: Millis = Millis::new(5_000);
+/// How long a target is waited for that may be sent work.
+const TARGET_WAIT: Millis = Millis::new(2_000);
+/// Time between two looks for such a target.
+const TARGET_POLL: Millis = Millis::new(20);
 /// How long targets are asked whether they have a request already.
 const FIND_WAIT: Millis = Millis::new(250);
 /// Time beyond the deadline in which the end of a run is still read.
@@ -93,6 +97,7 @@
             reservation,
             head: None,
             forwarded: false,
+            replay: None,
         };
         driver.drive().await;
     });
@@ -120,6 +125,8 @@
     head: Option<Frame>,
     /// True if the caller has been given a frame of an answer.
     forwarded: bool,
+    /// The claimant that did not give the answer; a stored one may be taken instead.
+    replay: Option<Incarnation>,
 }
 
 /// # Attempts
@@ -138,8 +145,10 @@
     async fn attempts(&mut self) -> Option<Refusal> {
         if let Some(sidecar) = self.find_running().await {
             self.job.tried.add(sidecar.target.clone());
-            if let Step::Done = self.attempt(sidecar).await {
-                return None;
+            match self.attempt(sidecar).await {
+                Step::Done => return None,
+                Step::Fail(refusal) => return Some(refusal),
+                Step::Next(_) => {}
             }
         }
         let mut last = Refusal::new(ErrorKind::NoTarget, "no live target serves this");
@@ -148,7 +157,7 @@
             if self.left().is_zero() {
                 return Some(self.at_deadline(last));
             }
-            let Some(sidecar) = self.app.choose(&self.job, &self.job.tried.list()) else {
+            let Some(sidecar) = self.next_target().await else {
                 return Some(last);
             };
             self.job.tried.add(sidecar.target.clone());
@@ -166,6 +175,20 @@
         }
     }
 
+    /// Returns the best target that was not tried. Where none was, one is waited for a while: an
+    /// entry that has just started may not have heard of all targets yet.
+    async fn next_target(&self) -> Option<Arc<Sidecar>> {
+        let tried = self.job.tried.list();
+        let until = self.app.clock.now() + TARGET_WAIT.min(self.left());
+        loop {
+            let chosen = self.app.choose(&self.job, &tried);
+            if chosen.is_some() || !tried.is_empty() || self.app.clock.now() >= until {
+                return chosen;
+            }
+            tokio::time::sleep(TARGET_POLL.duration()).await;
+        }
+    }
+
     fn left(&self) -> Millis {
         self.job.until.saturating_sub(self.app.clock.now())
     }
@@ -287,7 +310,7 @@
             }
             Outcome::ClaimedBy(incarnation, target) => {
                 self.keep_reservation(number);
-                self.join_claimant(incarnation, &target).await
+                self.answer_of_claimant(sidecar, incarnation, &target).await
             }
             Outcome::Gone => {
                 // Its run has ended with it, and with the run all that could still be billed.
@@ -307,18 +330,35 @@
         Step::Next(Refusal::new(ErrorKind::OutcomeUnknown, why))
     }
 
-    /// Reads the answer at the sidecar that claimed the request, if it still is the same one.
-    async fn join_claimant(&mut self, claimant: Incarnation, target: &TargetId) -> Step {
-        let unknown = |why: String| Step::Fail(Refusal::new(ErrorKind::OutcomeUnknown, why));
-        let Some(sidecar) = self.app.fleet.get(target) else {
-            return unknown(format!("{claimant} claimed the request and is gone"));
-        };
-        if sidecar.incarnation().as_ref() != Some(&claimant) {
-            return unknown(format!("{claimant} claimed the request and has ended"));
+    /// Gets the answer from the sidecar that claimed the request, or else the stored answer from
+    /// the one that knows of the claim.
+    async fn answer_of_claimant(
+        &mut self,
+        sidecar: &Arc<Sidecar>,
+        claimant: Incarnation,
+        target: &TargetId,
+    ) -> Step {
+        if let Some(step) = self.join_claimant(&claimant, target).await {
+            return step;
+        }
+        if self.replay.as_ref() == Some(&claimant) {
+            let detail = format!("{claimant} claimed the request and cannot be asked");
+            return Step::Fail(Refusal::new(ErrorKind::OutcomeUnknown, detail));
+        }
+        self.replay = Some(claimant);
+        Box::pin(self.attempt(sidecar.clone())).await
+    }
+
+    /// Reads the answer at the sidecar that claimed the request; `None` if that sidecar has ended
+    /// or does not have it.
+    async fn join_claimant(&mut self, claimant: &Incarnation, target: &TargetId) -> Option<Step> {
+        let sidecar = self.app.fleet.get(target)?;
+        if sidecar.incarnation().as_ref() != Some(claimant) {
+            return None;
         }
         match self.relay(&sidecar, None).await {
-            Step::Next(refusal) if refusal.outcome() == Ran::NotRun => unknown(refusal.to_string()),
-            step => step,
+            Step::Next(_) => None,
+            step => Some(step),
         }
     }
 
@@ -373,6 +413,7 @@
             fingerprint: ask.fingerprint,
             grant: reservation.grant.clone(),
             reserved: reservation.tokens,
+            replay: self.replay.clone(),
             deadline: self.left(),
             work: ask.work.clone(),
         }
--- a/crates/proto/src/sidecar.rs
+++ b/crates/proto/src/sidecar.rs
@@ -89,6 +89,10 @@
     pub grant: GrantId,
     /// The tokens reserved from the grant: the worst case of the request.
     pub reserved: Tokens,
+    /// The claimant from which the entry could not get the answer: if its claim has a stored
+    /// answer, that may be given and billed here.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub replay: Option<Incarnation>,
     /// How long the caller still waits. It is counted down by the receiver's own clock.
     pub deadline: Millis,
     /// What the target does.
--- a/crates/sidecar/benches/admit.rs
+++ b/crates/sidecar/benches/admit.rs
@@ -31,6 +31,7 @@
             holder: entry,
         },
         reserved: Tokens::new(100),
+        replay: None,
         deadline: Millis::new(1_000),
         work: Work::Call {
             method: "GET".into(),
--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -225,6 +225,7 @@
                 ..
             }) => replay::answer(self, run, Stored::new(status, content_type, body)),
             ClaimOutcome::Other {
+                by,
                 state:
                     State::Done {
                         status,
@@ -233,14 +234,15 @@
                         tokens,
                     },
                 ..
-            } => {
+            } if run.req.replay.as_ref() == Some(&by) => {
                 let stored = Stored::new(status, content_type, body).with_bill(tokens);
                 replay::answer(self, run, stored)
             }
+            // While its claimant lives, the answer and the bill are there.
             ClaimOutcome::Other {
                 by,
                 target,
-                state: State::Claimed,
+                state: State::Claimed | State::Done { .. },
                 ..
             } => {
                 let refusal = Refusal::new(ErrorKind::OutcomeUnknown, format!("claimed by {by}"));
--- a/crates/sidecar/tests/sidecar/table.rs
+++ b/crates/sidecar/tests/sidecar/table.rs
@@ -28,6 +28,7 @@
             holder: entry,
         },
         reserved: Tokens::new(100),
+        replay: None,
         deadline: Millis::new(1_000),
         work: Work::Call {
             method: "POST".into(),
