A waiting attempt with another body does not decide about a key

Cause: a request whose key another caller had just tried with another body was refused as key_reused, although the key was its own: the other attempt was still being claimed at that sidecar. Seen once in e2e::claims::booking::one_key_at_all_entries. An attempt that gave up waiting for another one said not run although that one might still run. Ruled out: the claims themselves (the bucket had the right body). Change: only a run that has left the queue decides; non-idempotent requests go by rendezvous order alone, so that attempts meet at one sidecar; giving up beside a waiting attempt is unknown; the ids in the claims tests follow the service. Conclusion: not run is said only when it is sure.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -20,7 +20,7 @@
 use crate::{
     books::Books,
     cx::Cx,
-    fleet::{Fleet, Sidecar},
+    fleet::{Fleet, Order, Sidecar},
     forward::Job,
     hedge::Hedges,
     observe,
@@ -140,7 +140,11 @@
 impl App {
     /// Returns the best target for a job that is not in `tried`.
     pub fn choose(&self, job: &Job, tried: &[TargetId]) -> Option<Arc<Sidecar>> {
-        self.fleet.choose(&self.route_ask(job), tried)
+        let order = match job.ask.idempotent {
+            true => Order::Estimate,
+            false => Order::Rendezvous,
+        };
+        self.fleet.choose(&self.route_ask(job), order, tried)
     }
 
     /// Returns the targets at which a retry of the job finds it.
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -333,10 +333,19 @@
     }
 }
 
+/// The order in which targets are tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// By the estimated time to the first token.
+    Estimate,
+    /// By rendezvous hashing alone, so that all attempts of a request meet at one target.
+    Rendezvous,
+}
+
 /// # Choice
 impl Fleet {
     /// Returns the best target that is not in `tried` and may be sent work.
-    pub fn choose(&self, ask: &Ask<'_>, tried: &[TargetId]) -> Option<Arc<Sidecar>> {
+    pub fn choose(&self, ask: &Ask<'_>, order: Order, tried: &[TargetId]) -> Option<Arc<Sidecar>> {
         let mut rows = self.lock();
         rows.turn += 1;
         let ask = Ask {
@@ -347,7 +356,14 @@
         for (row, target) in rows.iter().zip(targets.iter_mut()) {
             target.standing = row.health.standing(ask.now);
         }
-        let ranked = choose(targets, &ask, &self.options);
+        let ranked = match order {
+            Order::Estimate => choose(targets, &ask, &self.options),
+            Order::Rendezvous => {
+                let mut all = candidates(targets, ask.service, ask.model, ask.key, usize::MAX);
+                all.sort_by_key(|index| targets[*index].standing);
+                all
+            }
+        };
         let open = ranked.into_iter().map(|index| &rows[index]);
         open.filter(|row| !tried.contains(&row.place.target))
             .find(|row| row.is_recorded())
--- a/crates/quickstart/tests/e2e/claims/support.rs
+++ b/crates/quickstart/tests/e2e/claims/support.rs
@@ -5,7 +5,7 @@
     Deployment, Layout,
     caller::Reply,
     deploy::{TargetSlot, wait_until},
-    layout::{DESK, TargetKind},
+    layout::{DESK, TargetKind, WRITING},
 };
 use cyc_standin::client::Client;
 use cyc_types::{IdempotencyKey, Outcome, RequestId};
@@ -32,9 +32,14 @@
     }
 }
 
-pub fn request_id(key: &str) -> Result<String> {
+/// Returns the id that the targets of a kind see for a key.
+pub fn request_id(key: &str, kind: TargetKind) -> Result<String> {
     let key: IdempotencyKey = key.parse()?;
-    Ok(RequestId::from_key(&ACCOUNT.parse()?, &DESK.parse()?, &key).to_string())
+    let service = match kind {
+        TargetKind::Engine => WRITING,
+        TargetKind::Desk => DESK,
+    };
+    Ok(RequestId::from_key(&ACCOUNT.parse()?, &service.parse()?, &key).to_string())
 }
 
 pub fn slots(deployment: &Deployment, kind: TargetKind) -> Vec<usize> {
@@ -75,7 +80,6 @@
 
 /// Returns the runs of a key by the index of the target.
 pub async fn runs_by_target(deployment: &Deployment, key: &str) -> Result<Vec<(usize, u64)>> {
-    let id = request_id(key)?;
     let mut runs = Vec::new();
     for (index, slot) in deployment.targets.iter().enumerate() {
         let client = Client::new(slot.target.addr());
@@ -84,6 +88,7 @@
             TargetKind::Engine => "runs",
             TargetKind::Desk => "by_key",
         };
+        let id = request_id(key, slot.kind)?;
         let count = counters[field][&id].as_u64().unwrap_or_default();
         runs.push((index, count));
     }
--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -157,14 +157,17 @@
             let left = until.saturating_sub(self.clock().now());
             match tokio::time::timeout(left.duration(), settled(&run)).await {
                 Err(_) => {
+                    // That attempt may still run the request.
                     let detail = "the deadline passed while another attempt waited";
-                    return refused(ErrorKind::DeadlineBeforeStart, detail);
+                    return refused(ErrorKind::OutcomeUnknown, detail);
                 }
                 Ok(Phase::Refused(refusal)) if run.is_attempt(&req) => {
                     return RunReply::Refused(refusal);
                 }
                 // The other attempt was refused and is gone from the table: this one may run.
                 Ok(Phase::Refused(_)) => {}
+                // The body of that attempt counts now, and this one is refused for its own.
+                Ok(_) if run.req.fingerprint != req.fingerprint => {}
                 Ok(_) if run.is_attempt(&req) => return RunReply::Started,
                 Ok(_) => return RunReply::Joined,
             }
--- a/crates/sidecar/src/table.rs
+++ b/crates/sidecar/src/table.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns true if the run is in the queue or being claimed.
+    pub fn is_waiting(&self) -> bool {
+        *self.phase.borrow() == Phase::Waiting
+    }
+
     /// Returns when the run ended, if it has.
     pub fn ended(&self) -> Option<Millis> {
         match *self.phase.borrow() {
@@ -139,7 +144,8 @@
             return Err(Refusal::new(ErrorKind::Cancelled, "the attempt is barred"));
         }
         if let Some(run) = state.runs.get(&req.request) {
-            if run.req.fingerprint != req.fingerprint {
+            // A run that still waits may be refused, and then its body counts for nothing.
+            if run.req.fingerprint != req.fingerprint && !run.is_waiting() {
                 return Err(Refusal::new(
                     ErrorKind::KeyReused,
                     "the key came with another body",
--- a/crates/sidecar/tests/sidecar/table.rs
+++ b/crates/sidecar/tests/sidecar/table.rs
@@ -203,3 +203,23 @@
     expect_that!(*left.phase.borrow(), eq(&Phase::Running));
     Ok(())
 }
+
+#[gtest]
+fn a_waiting_run_of_another_body_does_not_decide_about_the_key() -> Result<()> {
+    let table = Table::default();
+    let wrong = request(1, 1, false)?;
+    let right = RunRequest {
+        fingerprint: 8,
+        ..request(1, 2, false)?
+    };
+    let waiting = admit_new(&table, &wrong)?;
+    let found = table.admit(&right).or_fail()?;
+    expect_that!(matches!(found, Admitted::Found(_)), eq(true));
+    // Its claim shows that the key belongs to the other body.
+    table.refuse(&waiting, Refusal::new(ErrorKind::KeyReused, "claimed"));
+    let run = admit_new(&table, &right)?;
+    table.start(&run).or_fail()?;
+    let refused = table.admit(&wrong).err().or_fail()?;
+    expect_that!(refused.kind, eq(ErrorKind::KeyReused));
+    Ok(())
+}
