Flush at the interval, not without a pause

Ruled out: the interval setting, wake-ups (only close wakes). Change: what comes while a segment is written waits for the next flush; a full segment and the close still go on at once. Broken link in the docs of crate member mended. Conclusion: writes grow with entries and time, not with requests.

--- a/crates/ledger/src/flush.rs
+++ b/crates/ledger/src/flush.rs
@@ -94,6 +94,13 @@
     closing: Option<oneshot::Sender<()>>,
 }
 
+impl State {
+    /// Returns true if something waits for a segment.
+    fn has_left_over(&self) -> bool {
+        !self.receipts.is_empty() || !self.refusals.is_empty() || !self.levels.is_empty()
+    }
+}
+
 /// A request that is billed.
 #[derive(Debug)]
 struct Seen {
@@ -241,7 +248,7 @@
                 () = self.shared.wake.notified() => {}
             }
             let closing = self.shared.lock().closing.take();
-            if self.flush_all().await.is_err() {
+            if self.flush_all(closing.is_some()).await.is_err() {
                 {
                     let mut state = self.shared.lock();
                     state.status.fenced = true;
@@ -259,20 +266,25 @@
         }
     }
 
-    /// Writes all that waits, one segment after the other.
-    async fn flush_all(&mut self) -> Result<(), Fenced> {
+    /// Writes what waits, one segment after the other. What comes meanwhile waits for the next
+    /// flush, unless the controller is `closing`: else a busy entry would write without a pause.
+    async fn flush_all(&mut self, closing: bool) -> Result<(), Fenced> {
         loop {
-            let segment = self.next_segment();
+            let (segment, is_full) = self.next_segment();
             if segment.is_empty() {
                 return Ok(());
             }
             self.sequence = segment.sequence;
             self.write(&segment).await?;
             self.settle(&segment).await;
+            if !is_full && !closing {
+                return Ok(());
+            }
         }
     }
 
-    fn next_segment(&self) -> Segment {
+    /// Takes what waits into a segment, and tells whether something is left over.
+    fn next_segment(&self) -> (Segment, bool) {
         let now = self.shared.clock.now();
         let wall = self.shared.clock.wall();
         let mut segment = Segment::new(self.shared.me.clone(), self.sequence + 1, wall);
@@ -290,7 +302,8 @@
         let count = segment.receipts.len() as u64;
         state.status.unflushed = state.status.unflushed.saturating_sub(count);
         state.status.unsettled += count;
-        segment
+        let is_full = state.has_left_over();
+        (segment, is_full)
     }
 
     /// Writes a segment, create-only, as often as it takes.
--- a/crates/ledger/src/level.rs
+++ b/crates/ledger/src/level.rs
@@ -97,6 +97,10 @@
         count.add(good, latency);
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     pub(crate) fn take(&mut self) -> Vec<LevelCount> {
         let counts = std::mem::take(&mut self.0).into_iter();
         counts
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,7 +1,7 @@
 //! Registration of processes: which incarnation of which role runs on which VM, and where.
 //!
 //! One object a role and VM; its number grows by one with each registration, so that no two
-//! starts share an [`Incarnation`].
+//! starts share an [`cyc_types::Incarnation`].
 
 pub mod backoff;
 pub mod contacts;
