--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -49,12 +49,12 @@
             Filter::Forward => forward(app, cx),
         };
         if let Err(refusal) = step {
-            spdlog::debug!(
-                "event=refused filter={filter} request={} account={} kind={}",
-                cx.request,
-                cx.account_name(),
-                refusal.kind
-            );
+            spdlog::debug!("refused", kv: {
+                filter = filter.to_string(),
+                request = cx.request.to_string(),
+                account = cx.account_name().to_string(),
+                kind = refusal.kind.to_string(),
+            });
             app.note_refusal(cx, &refusal);
             return Err(refusal);
         }
--- a/crates/entry/src/control/heartbeat.rs
+++ b/crates/entry/src/control/heartbeat.rs
@@ -53,7 +53,7 @@
     }
     let revision = reply.revision;
     if app.fleet.answered(reply, mark, app.clock.now()) {
-        spdlog::info!("event=sidecar_restarted target={}", sidecar.target);
+        spdlog::info!("sidecar_restarted", kv: { target = sidecar.target.to_string() });
     }
     if revision < app.config.revision() {
         push_config(app, &sidecar).await;
@@ -81,10 +81,10 @@
         return;
     };
     if let Err(error) = client.configure(config.to_push()).await {
-        spdlog::warn!(
-            "event=config_push_failed target={} error=\"{error}\"",
-            sidecar.target
-        );
+        spdlog::warn!("config_push_failed", kv: {
+            target = sidecar.target.to_string(),
+            error = error.to_string(),
+        });
     }
 }
 
--- a/crates/entry/src/control/vms.rs
+++ b/crates/entry/src/control/vms.rs
@@ -21,7 +21,9 @@
                 let states = vms.into_iter().map(|vm| (vm.id, vm.state)).collect();
                 apply(&app, &states);
             }
-            Err(error) => spdlog::debug!("event=vm_list_not_read error=\"{error}\""),
+            Err(error) => {
+                spdlog::debug!("vm_list_not_read", kv: { error = error.to_string() });
+            }
         }
     }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -83,10 +83,10 @@
     let me = register(platform.as_ref(), &member)
         .await
         .map_err(Error::Register)?;
-    spdlog::info!(
-        "event=started entry={me} callers={}",
-        caller_listener.local_addr()?
-    );
+    spdlog::info!("started", kv: {
+        entry = me.to_string(),
+        callers = caller_listener.local_addr()?.to_string(),
+    });
 
     let key = ProcessKey::new(settings.access.process_key.as_str());
     let app = build(&settings, platform.clone(), me, &key)?;
@@ -210,7 +210,7 @@
 async fn shut_down(app: &App, lender: &Lender, limit: Millis, stop: watch::Sender<bool>) {
     let until = app.clock.now() + limit;
     app.drain();
-    spdlog::info!("event=draining in_flight={}", app.in_flight());
+    spdlog::info!("draining", kv: { in_flight = app.in_flight() });
     tokio::time::sleep(BALANCER_NOTICE.duration()).await;
     while app.in_flight() > 0 && app.clock.now() < until {
         tokio::time::sleep(DRAIN_POLL.duration()).await;
@@ -221,14 +221,17 @@
     lender.repay_all().await;
     let ledger = app.ledger.close(left()).await;
     if ledger.unflushed + ledger.unsettled > 0 {
-        spdlog::error!(
-            "event=not_flushed unflushed={} unsettled={}",
-            ledger.unflushed,
-            ledger.unsettled
-        );
+        spdlog::error!("not_flushed", kv: {
+            unflushed = ledger.unflushed,
+            unsettled = ledger.unsettled,
+        });
     }
     for (budget, tokens, why) in app.purse.close(left()).await.kept {
-        spdlog::error!("event=grant_kept budget={budget} tokens={tokens} why=\"{why}\"");
+        spdlog::error!("grant_kept", kv: {
+            budget = budget.to_string(),
+            tokens = tokens.get(),
+            why = why.to_string(),
+        });
     }
-    spdlog::info!("event=stopped in_flight={}", app.in_flight());
+    spdlog::info!("stopped", kv: { in_flight = app.in_flight() });
 }
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
 };
 
 use crate::app::App;
@@ -25,6 +25,10 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// The most headers of a request.
 const MAX_HEADERS: usize = 64;
+/// How long the port must be quiet before it is closed.
+const LATE_WAIT: Duration = Duration::from_millis(20);
+/// The most connections that are still accepted while the port closes.
+const MAX_LATE: usize = 1_024;
 /// Pause after an error of `accept`, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -48,22 +52,7 @@
         .max_headers(MAX_HEADERS);
     let slots = Arc::new(Semaphore::new(max_connections));
     let graceful = GracefulShutdown::new();
-    loop {
-        let slot = tokio::select! {
-            slot = slots.clone().acquire_owned() => slot.map_err(io::Error::other)?,
-            () = stopped(&mut stop) => break,
-        };
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    spdlog::warn!("event=accept_failed error=\"{error}\"");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            },
-            () = stopped(&mut stop) => break,
-        };
+    let serve = |stream: TcpStream, slot: Option<OwnedSemaphorePermit>| {
         set_nodelay(&stream);
         let service = TowerToHyperService::new(router.clone());
         let connection = builder
@@ -75,6 +64,29 @@
             // A caller that breaks its connection ends only its own requests.
             watched.await.ok();
         });
+    };
+    loop {
+        let slot = tokio::select! {
+            slot = slots.clone().acquire_owned() => slot.map_err(io::Error::other)?,
+            () = stopped(&mut stop) => break,
+        };
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => serve(stream, Some(slot)),
+                Err(error) => {
+                    spdlog::warn!("accept_failed", kv: { error = error.to_string() });
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            () = stopped(&mut stop) => break,
+        }
+    }
+    // Callers whose connection was made just before are refused with an answer, not with a reset.
+    for _ in 0..MAX_LATE {
+        match tokio::time::timeout(LATE_WAIT, listener.accept()).await {
+            Ok(Ok((stream, _))) => serve(stream, None),
+            Ok(Err(_)) | Err(_) => break,
+        }
     }
     drop(listener);
     graceful.shutdown().await;
@@ -100,7 +112,7 @@
 /// Answers are streams of small pieces, which must not wait for each other.
 fn set_nodelay(stream: &TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
-        spdlog::debug!("event=nodelay_failed error=\"{error}\"");
+        spdlog::debug!("nodelay_failed", kv: { error = error.to_string() });
     }
 }
 
--- a/crates/obs/tests/obs/pages.rs
+++ b/crates/obs/tests/obs/pages.rs
@@ -61,7 +61,6 @@
         let (level, rest) = call.split_once("!(")?;
         let is_level = level.bytes().all(|byte| byte.is_ascii_lowercase());
         let text = rest.trim_start().strip_prefix('"').filter(|_| is_level)?;
-        let text = text.strip_prefix("event=").unwrap_or(text);
         let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
         Some(text.split(|c| !is_name(c)).next()?.to_owned())
     });
--- a/crates/quickstart/tests/e2e/stops.rs
+++ b/crates/quickstart/tests/e2e/stops.rs
@@ -189,7 +189,11 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_sidecar_that_stops_finishes_its_stream_and_gets_no_new_work() -> Result<()> {
-    let mut deployment = start(slow_engines()).await?;
+    // A draft of many seconds: the short ones below have to end before it on a busy machine too.
+    let engines = Layout::default()
+        .with_engine_arg("--token-ms")
+        .with_engine_arg("80");
+    let mut deployment = start(engines).await?;
     let draft = long_draft(&deployment, 0).await?;
     let leaving = long_draft_target(&deployment).await.or_fail()?;
     deployment.signal_sidecar(leaving, Signal::Term)?;
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -78,7 +78,7 @@
     sidecar
         .table()
         .learn_fences(&read_fences(platform.as_ref()).await);
-    spdlog::info!("event=started sidecar={me} addr={addr}");
+    spdlog::info!("started", kv: { sidecar = me.to_string(), addr = addr.to_string() });
 
     let key = ProcessKey::new(settings.access.process_key.as_str());
     let server = serve(listener, &key, Rpc::new(sidecar.clone()).into_rpc())?;
@@ -132,7 +132,9 @@
     loop {
         match fence::read(platform).await {
             Ok(fences) => return fences.incarnations(),
-            Err(error) => spdlog::warn!("event=fences_not_read error=\"{error}\""),
+            Err(error) => {
+                spdlog::warn!("fences_not_read", kv: { error = error.to_string() });
+            }
         }
         backoff.wait().await;
     }
@@ -152,7 +154,7 @@
     let until = sidecar.clock().now() + limit;
     let left = || until.saturating_sub(sidecar.clock().now());
     sidecar.table().drain();
-    spdlog::info!("event=draining active={}", sidecar.table().active());
+    spdlog::info!("draining", kv: { active = sidecar.table().active() as u64 });
     while sidecar.table().active() > 0 && !left().is_zero() {
         tokio::time::sleep(DRAIN_POLL.duration()).await;
     }
@@ -160,14 +162,14 @@
         .await
         .is_err()
     {
-        spdlog::error!("event=claims_not_flushed");
+        spdlog::error!("claims_not_flushed");
     }
     while !sidecar.table().unreleased().is_empty() && !left().is_zero() {
         tokio::time::sleep(DRAIN_POLL.duration()).await;
     }
     let kept = sidecar.table().unreleased();
     if !kept.is_empty() {
-        spdlog::error!("event=receipts_not_released count={}", kept.len());
+        spdlog::error!("receipts_not_released", kv: { count = kept.len() as u64 });
     }
-    spdlog::info!("event=stopped active={}", sidecar.table().active());
+    spdlog::info!("stopped", kv: { active = sidecar.table().active() as u64 });
 }
--- a/crates/sidecar/src/load.rs
+++ b/crates/sidecar/src/load.rs
@@ -54,7 +54,7 @@
         let read = read(&sidecar, &mut events);
         match tokio::time::timeout(READ_TIMEOUT, read).await {
             Ok(Some(report)) => sidecar.set_target_load(report),
-            Ok(None) | Err(_) => spdlog::debug!("event=load_not_read"),
+            Ok(None) | Err(_) => spdlog::debug!("load_not_read"),
         }
     }
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -188,10 +188,10 @@
 
 async fn stop_engine(sidecar: &Sidecar, run: &Run) {
     if let Err(error) = sidecar.target().cancel(run.req.request).await {
-        spdlog::warn!(
-            "event=cancel_failed request={} error=\"{error}\"",
-            run.req.request
-        );
+        spdlog::warn!("cancel_failed", kv: {
+            request = run.req.request.to_string(),
+            error = error.to_string(),
+        });
     }
 }
 
