--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -1,8 +1,11 @@
 //! What all requests and controllers of one entry share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    ops::Deref,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use cadence::Gauged as _;
@@ -67,28 +70,7 @@
 
 /// What all requests and controllers of one entry share.
 pub struct App {
-    /// This incarnation.
-    pub me: Incarnation,
-    /// The availability zone.
-    pub zone: AvailabilityZone,
-    /// The clock.
-    pub clock: Clock,
-    /// The limits.
-    pub options: Options,
-    /// The tokens held.
-    pub purse: Purse,
-    /// The open attempts.
-    pub books: Books,
-    /// The sidecars.
-    pub fleet: Fleet,
-    /// The configuration in force.
-    pub config: InForce,
-    /// The pools of the route classes.
-    pub pools: Pools,
-    /// Where receipts and refusals go.
-    pub ledger: Ledger,
-    /// Counters.
-    pub metrics: Metrics,
+    parts: Parts,
     /// When look-ups go to a second target.
     pub hedges: Hedges,
     attempts: AtomicU64,
@@ -104,21 +86,19 @@
     fenced: watch::Sender<bool>,
 }
 
+impl Deref for App {
+    type Target = Parts;
+
+    fn deref(&self) -> &Parts {
+        &self.parts
+    }
+}
+
 impl App {
     /// Puts the parts together.
     pub fn new(parts: Parts) -> Self {
         Self {
-            me: parts.me,
-            zone: parts.zone,
-            clock: parts.clock,
-            options: parts.options,
-            purse: parts.purse,
-            books: parts.books,
-            fleet: parts.fleet,
-            config: parts.config,
-            pools: parts.pools,
-            ledger: parts.ledger,
-            metrics: parts.metrics,
+            parts,
             hedges: Hedges::default(),
             attempts: AtomicU64::new(0),
             in_flight: AtomicU64::new(0),
--- a/crates/entry/src/bin/entry.rs
+++ b/crates/entry/src/bin/entry.rs
@@ -1,7 +1,8 @@
 //! `entry`: takes callers' requests and forwards them to targets within prepaid budgets.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::process::ExitCode;
 
+use cyc_obs::{Args, load_settings, run_daemon};
 use cyc_settings::EntrySettings;
 
 mod flags {
@@ -26,28 +27,15 @@
 
 fn main() -> ExitCode {
     let flags = flags::Entry::from_env_or_exit();
-    if flags.version {
-        println!("entry {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let Some(path) = flags.settings else {
-        eprintln!("error: the settings file is missing; see `entry --help`");
-        return ExitCode::from(cyc_obs::EXIT_USAGE);
-    };
-    start(path, flags.check)
-}
-
-fn start(path: PathBuf, check: bool) -> ExitCode {
-    let settings = match EntrySettings::load(&path) {
-        Ok(settings) => settings,
-        Err(errors) => {
-            errors.iter().for_each(|error| eprintln!("error: {error}"));
-            return ExitCode::from(cyc_obs::EXIT_USAGE);
-        }
+    let args = Args {
+        program: "entry",
+        version: env!("CARGO_PKG_VERSION"),
+        settings: flags.settings,
+        check: flags.check,
+        print_version: flags.version,
     };
-    if check {
-        println!("{}: ok", path.display());
-        return ExitCode::SUCCESS;
+    match load_settings(&args, EntrySettings::load) {
+        Ok(settings) => run_daemon(settings.process.log_level, cyc_entry::daemon::run(settings)),
+        Err(code) => code,
     }
-    cyc_obs::run_daemon(settings.process.log_level, cyc_entry::daemon::run(settings))
 }
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod names;
 pub mod signal;
 
-pub use daemon::{EXIT_FAILED, EXIT_USAGE, run_daemon};
+pub use daemon::{Args, EXIT_FAILED, EXIT_USAGE, load_settings, run_daemon};
 pub use log::start_logs;
 pub use metrics::Metrics;
 pub use signal::shutdown;
--- a/crates/sidecar/src/bin/sidecar.rs
+++ b/crates/sidecar/src/bin/sidecar.rs
@@ -1,7 +1,8 @@
 //! `sidecar`: the only door to the target beside it.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::process::ExitCode;
 
+use cyc_obs::{Args, load_settings, run_daemon};
 use cyc_settings::SidecarSettings;
 
 mod flags {
@@ -26,31 +27,18 @@
 
 fn main() -> ExitCode {
     let flags = flags::Sidecar::from_env_or_exit();
-    if flags.version {
-        println!("sidecar {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let Some(path) = flags.settings else {
-        eprintln!("error: the settings file is missing; see `sidecar --help`");
-        return ExitCode::from(cyc_obs::EXIT_USAGE);
-    };
-    start(path, flags.check)
-}
-
-fn start(path: PathBuf, check: bool) -> ExitCode {
-    let settings = match SidecarSettings::load(&path) {
-        Ok(settings) => settings,
-        Err(errors) => {
-            errors.iter().for_each(|error| eprintln!("error: {error}"));
-            return ExitCode::from(cyc_obs::EXIT_USAGE);
-        }
+    let args = Args {
+        program: "sidecar",
+        version: env!("CARGO_PKG_VERSION"),
+        settings: flags.settings,
+        check: flags.check,
+        print_version: flags.version,
     };
-    if check {
-        println!("{}: ok", path.display());
-        return ExitCode::SUCCESS;
+    match load_settings(&args, SidecarSettings::load) {
+        Ok(settings) => run_daemon(
+            settings.process.log_level,
+            cyc_sidecar::daemon::run(settings),
+        ),
+        Err(code) => code,
     }
-    cyc_obs::run_daemon(
-        settings.process.log_level,
-        cyc_sidecar::daemon::run(settings),
-    )
 }
