--- a/crates/entry/src/control/follow.rs
+++ b/crates/entry/src/control/follow.rs
@@ -49,7 +49,7 @@
                 backoff.reset();
             }
             Err(error) => {
-                spdlog::warn!("config_not_read", kv: { error:? = error.to_string() });
+                spdlog::warn!("config_not_read", kv: { error = error.to_string() });
                 backoff.wait().await;
             }
         }
@@ -103,8 +103,8 @@
     match Snapshot::from_peer(&sent) {
         Ok(snapshot) => put_in_force(app, snapshot),
         Err(error) => spdlog::warn!("peer_config_bad", kv: {
-            peer:? = peer.addr().to_string(),
-            error:? = error.to_string(),
+            peer = peer.addr().to_string(),
+            error = error.to_string(),
         }),
     }
 }
@@ -122,6 +122,6 @@
     if app.config.apply(snapshot) {
         app.fleet.set(places);
         app.news.notify_one();
-        spdlog::info!("config_in_force", kv: { revision:? = revision.to_string() });
+        spdlog::info!("config_in_force", kv: { revision = revision.to_string() });
     }
 }
--- a/crates/entry/src/control/lend.rs
+++ b/crates/entry/src/control/lend.rs
@@ -142,9 +142,9 @@
         let reply = client.lend(req).await.ok()?;
         let grant = reply.grant?;
         spdlog::info!("tokens_borrowed", kv: {
-            budget:? = grant.budget.as_str(),
-            holder:? = grant.holder.to_string(),
-            tokens:? = reply.lent.get(),
+            budget = grant.budget.as_str(),
+            holder = grant.holder.to_string(),
+            tokens = reply.lent.get(),
         });
         self.app
             .purse
@@ -200,7 +200,7 @@
             // Without an answer the tokens stay in the donor's grant until it is reclaimed.
             let sent = tokio::time::timeout(PEER_TIMEOUT.duration(), client.repay(req)).await;
             if !matches!(sent, Ok(Ok(()))) {
-                spdlog::warn!("repayment_lost", kv: { tokens:? = tokens.get() });
+                spdlog::warn!("repayment_lost", kv: { tokens = tokens.get() });
             }
         }
     }
--- a/crates/entry/src/control/merge.rs
+++ b/crates/entry/src/control/merge.rs
@@ -24,11 +24,11 @@
         }
         match merge(platform.as_ref(), &app.purse, window).await {
             Ok(outcome) if !outcome.credited.is_zero() => {
-                spdlog::info!("duplicates_credited", kv: { tokens:? = outcome.credited.get() });
+                spdlog::info!("duplicates_credited", kv: { tokens = outcome.credited.get() });
             }
             Ok(_) => {}
             Err(error) => {
-                spdlog::debug!("merge_failed", kv: { error:? = error.to_string() });
+                spdlog::debug!("merge_failed", kv: { error = error.to_string() });
             }
         }
     }
--- a/crates/entry/src/control/reclaim.rs
+++ b/crates/entry/src/control/reclaim.rs
@@ -55,7 +55,7 @@
                 finish(&app, outcome).await;
             }
             Err(error) => {
-                spdlog::debug!("reclaim_round_failed", kv: { error:? = error.to_string() });
+                spdlog::debug!("reclaim_round_failed", kv: { error = error.to_string() });
             }
         }
     }
@@ -77,9 +77,9 @@
 async fn finish(app: &App, outcome: Outcome) {
     for (grant, tokens) in &outcome.reclaimed {
         spdlog::info!("grant_reclaimed", kv: {
-            budget:? = grant.budget.as_str(),
-            holder:? = grant.holder.to_string(),
-            tokens:? = tokens.get(),
+            budget = grant.budget.as_str(),
+            holder = grant.holder.to_string(),
+            tokens = tokens.get(),
         });
     }
     release(app, outcome.released).await;
@@ -88,10 +88,10 @@
 fn log_unresolved(unresolved: &[Unresolved]) {
     for left in unresolved {
         spdlog::warn!("grant_unresolved", kv: {
-            budget:? = left.grant.budget.as_str(),
-            holder:? = left.grant.holder.to_string(),
-            tokens:? = left.tokens.get(),
-            reason:? = left.reason.to_string(),
+            budget = left.grant.budget.as_str(),
+            holder = left.grant.holder.to_string(),
+            tokens = left.tokens.get(),
+            reason = left.reason.to_string(),
         });
     }
 }
--- a/crates/sidecar/src/slots.rs
+++ b/crates/sidecar/src/slots.rs
@@ -43,8 +43,8 @@
         Err(problems) => {
             let first = problems.first().map(ToString::to_string);
             spdlog::warn!("config_not_read", kv: {
-                revision:? = revision.to_string(),
-                problem:? = first.unwrap_or_default(),
+                revision = revision.to_string(),
+                problem = first.unwrap_or_default(),
             });
         }
     }
