A caller that does not read, and a silent sidecar, hold nobody up for ever

Cause: the forwarder sent frames to a caller without a limit, so that one that did not read held its slot past the deadline; a configuration push to a silent sidecar held up all heartbeats for a minute. Both were found by reading. Ruled out: dropping single frames for a slow caller (a gap in its answer). Change: a caller that takes nothing until 5 s after its deadline gets no further frame; a push waits as long as a heartbeat. Before: no limit. After: ./check passes; no test of its own brings either about yet. Conclusion: the limits are in force; their tests are still to be written.

--- a/crates/entry/src/control/heartbeat.rs
+++ b/crates/entry/src/control/heartbeat.rs
@@ -80,12 +80,14 @@
     let Ok(client) = sidecar.link.client().await else {
         return;
     };
-    if let Err(error) = client.configure(config.to_push()).await {
-        spdlog::warn!("config_push_failed", kv: {
-            target = sidecar.target.to_string(),
-            error = error.to_string(),
-        });
-    }
+    let push = client.configure(config.to_push());
+    let error = match tokio::time::timeout(HEARTBEAT_TIMEOUT.duration(), push).await {
+        Ok(Ok(_)) => return,
+        Ok(Err(error)) => error.to_string(),
+        // All sidecars would wait for a silent one.
+        Err(_) => String::from("no answer in time"),
+    };
+    spdlog::warn!("config_push_failed", kv: { target = sidecar.target.to_string(), error });
 }
 
 /// Asks what became of an attempt, and frees its reservation if nothing will be billed for it.
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -28,6 +28,8 @@
 const TARGET_WAIT: Millis = Millis::new(2_000);
 /// Time between two looks for such a target.
 const TARGET_POLL: Millis = Millis::new(20);
+/// Time beyond the deadline in which a caller may still take a refusal.
+const REFUSAL_WAIT: Millis = Millis::new(5_000);
 /// How long targets are asked whether they have a request already.
 const FIND_WAIT: Millis = Millis::new(250);
 
@@ -90,6 +92,7 @@
             reservation,
             head: None,
             forwarded: false,
+            gone: false,
             replay: None,
         };
         driver.drive().await;
@@ -118,6 +121,9 @@
     head: Option<Frame>,
     /// True if the caller has been given a frame of an answer.
     forwarded: bool,
+    /// True if the caller has gone or does not read: it gets no further frame, so that none is
+    /// left out before one that it gets.
+    gone: bool,
     /// The claimant that did not give the answer; a stored one may be taken instead.
     replay: Option<Incarnation>,
 }
@@ -129,8 +135,9 @@
         if let Some(reservation) = self.reservation.take() {
             self.app.purse.release(reservation);
         }
-        if let Some(refusal) = refusal {
-            self.tx.send(Err(refusal)).await.ok();
+        if let Some(refusal) = refusal.filter(|_| !self.gone) {
+            let wait = (self.left() + REFUSAL_WAIT).duration();
+            self.tx.send_timeout(Err(refusal), wait).await.ok();
         }
     }
 
--- a/crates/entry/src/forward/answer.rs
+++ b/crates/entry/src/forward/answer.rs
@@ -128,7 +128,10 @@
         }
         self.forwarded = true;
         for frame in self.head.take().into_iter().chain([frame]) {
-            if self.tx.send(Ok(frame)).await.is_err() {
+            // A caller that does not read must not hold the slot for ever.
+            let wait = (self.left() + END_GRACE).duration();
+            if !self.gone && self.tx.send_timeout(Ok(frame), wait).await.is_err() {
+                self.gone = true;
                 self.caller_left(sidecar).await;
             }
         }
