Remove a method that nothing calls

Cause: Answer::is_complete was left over from before the reader waited for end frames itself. Ruled out: a test as its only caller (there is none). Change: the method is gone. Before and after: ./check passes; no behaviour changed.

--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -37,11 +37,6 @@
         self.length.send_replace(frames.len() as u64);
     }
 
-    /// Returns true if the end frame is there.
-    pub fn is_complete(&self) -> bool {
-        self.frames().last().is_some_and(Frame::is_end)
-    }
-
     /// Returns true if the answer ended as failed.
     pub fn is_failed(&self) -> bool {
         matches!(self.frames().last(), Some(Frame::Failed { .. }))
