--- a/crates/budget/examples/policies/bench.rs
+++ b/crates/budget/examples/policies/bench.rs
@@ -11,9 +11,9 @@
 use cyc_budget::{
     Keeper, Payment, Purse, SHARDS, keeper, policy::Options, shard::shard_key, shard_of, top_up,
 };
-use cyc_platform::Platform as _;
 use cyc_proto::GrantId;
 use cyc_standin::store::{Faults, Store};
+use cyc_store::Platform as _;
 use cyc_types::{BudgetId, Clock, Incarnation, Millis, Tokens};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
--- a/crates/budget/examples/policies/way.rs
+++ b/crates/budget/examples/policies/way.rs
@@ -3,8 +3,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_trait::async_trait;
-use cyc_platform::{Body, Change, Error, Expect, Kind, Object, ObjectKey, Platform, Vm};
 use cyc_standin::store::Store;
+use cyc_store::{Body, Change, Error, Expect, Kind, Object, ObjectKey, Platform, Vm};
 use cyc_types::{ByteSize, Millis, Version};
 
 /// One way to the store, which can be cut.
--- a/crates/budget/src/batch.rs
+++ b/crates/budget/src/batch.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cyc_platform::{Error, Object, Platform};
+use cyc_store::{Error, Object, Platform};
 use cyc_types::{BudgetId, Incarnation, Millis, Tokens};
 
 use crate::{
--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use cyc_platform::{Error, Expect, Platform};
+use cyc_store::{Error, Expect, Platform};
 use cyc_types::{BudgetId, Clock, Incarnation, Millis, Tokens};
 use futures::future::join_all;
 use rand::RngExt as _;
@@ -331,6 +331,6 @@
 }
 
 /// Returns the condition for writing over an object as it was read.
-pub(crate) fn expect_of(object: Option<&cyc_platform::Object>) -> Expect {
+pub(crate) fn expect_of(object: Option<&cyc_store::Object>) -> Expect {
     object.map_or(Expect::Absent, |object| Expect::Version(object.version))
 }
--- a/crates/budget/src/shard.rs
+++ b/crates/budget/src/shard.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use cyc_platform::{Body, Kind, MAX_VALUE, ObjectKey};
+use cyc_store::{Body, Kind, MAX_VALUE, ObjectKey};
 use cyc_types::{BudgetId, ByteSize, ClientAccountId, Incarnation, Millis, Tokens, hash};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/budget/src/top_up.rs
+++ b/crates/budget/src/top_up.rs
@@ -1,6 +1,6 @@
 //! Payments, as the operators' command counts them.
 
-use cyc_platform::{Error, Platform};
+use cyc_store::{Error, Platform};
 use cyc_types::{BudgetId, ClientAccountId, Millis, Tokens};
 use smol_str::SmolStr;
 
--- a/crates/budget/tests/budget/fake.rs
+++ b/crates/budget/tests/budget/fake.rs
@@ -6,7 +6,7 @@
 };
 
 use async_trait::async_trait;
-use cyc_platform::{
+use cyc_store::{
     Body, Change, Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Platform, Result, Vm,
 };
 use cyc_types::{ByteSize, Clock, Millis, Version};
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -2,8 +2,8 @@
 
 use cyc_config::Objective;
 use cyc_ledger::{Series, level::Count};
-use cyc_platform::{Platform, Result};
 use cyc_proto::sidecar::RouteClass;
+use cyc_store::{Platform, Result};
 use cyc_types::{AvailabilityZone, Millis, ServiceId};
 use serde::Serialize;
 
--- a/crates/claim/src/bucket.rs
+++ b/crates/claim/src/bucket.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cyc_platform::{Kind, ObjectKey};
+use cyc_store::{Kind, ObjectKey};
 use cyc_types::{Incarnation, Millis, RequestId, ServiceId, TargetId, Tokens, hash};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
--- a/crates/claim/src/commit.rs
+++ b/crates/claim/src/commit.rs
@@ -8,7 +8,7 @@
     },
 };
 
-use cyc_platform::{MAX_VALUE, ObjectKey, Platform};
+use cyc_store::{MAX_VALUE, ObjectKey, Platform};
 use cyc_types::{Clock, Incarnation, Millis, RequestId, ServiceId, TargetId, Tokens};
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
--- a/crates/claim/src/worker.rs
+++ b/crates/claim/src/worker.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, mem, sync::Arc};
 
-use cyc_platform::{Error, Expect, ObjectKey};
+use cyc_store::{Error, Expect, ObjectKey};
 use cyc_types::{Millis, RequestId, Version};
 use tokio::sync::oneshot;
 
--- a/crates/claim/tests/claim/fake.rs
+++ b/crates/claim/tests/claim/fake.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use cyc_claim::Bucket;
-use cyc_platform::{
+use cyc_store::{
     Body, Change, Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Platform, Result, Vm,
 };
 use cyc_types::{ByteSize, Millis, Version};
--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -9,7 +9,7 @@
 
 use cyc_burn::{Counts, Options, report};
 use cyc_config::{LoadError, Objective, store};
-use cyc_platform::HttpPlatform;
+use cyc_store::HttpPlatform;
 use cyc_types::{Clock, Millis};
 use serde_json::json;
 
--- a/crates/cli/src/spend.rs
+++ b/crates/cli/src/spend.rs
@@ -6,7 +6,7 @@
     month::Month,
     report::{self, Report},
 };
-use cyc_platform::{Error, HttpPlatform};
+use cyc_store::{Error, HttpPlatform};
 use cyc_types::ClientAccountId;
 use serde_json::json;
 
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -5,11 +5,11 @@
 use cyc_budget::Shard;
 use cyc_config::part::Head;
 use cyc_member::{Member, Role, list};
-use cyc_platform::{HttpPlatform, Kind, Platform, VmState};
 use cyc_proto::{
     Link, ProcessKey,
     peer::{EntryStatus, PeerClient as _},
 };
+use cyc_store::{HttpPlatform, Kind, Platform, VmState};
 use cyc_types::{BudgetId, Incarnation, Revision, Tokens, VmId};
 use serde::Serialize;
 
@@ -246,7 +246,7 @@
     Ok(rows.into_iter().map(row).collect())
 }
 
-fn malformed(key: cyc_platform::ObjectKey, error: &serde_json::Error) -> Error {
+fn malformed(key: cyc_store::ObjectKey, error: &serde_json::Error) -> Error {
     Error::Malformed {
         key,
         why: error.to_string(),
--- a/crates/cli/src/top_up.rs
+++ b/crates/cli/src/top_up.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, num::NonZeroU64};
 
 use cyc_budget::{Applied, Payment, SHARDS, TopUpError, top_up};
-use cyc_platform::HttpPlatform;
+use cyc_store::HttpPlatform;
 use cyc_types::{BudgetId, ClientAccountId, Clock, Tokens};
 use serde_json::json;
 
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -124,7 +124,7 @@
     expect_that!(pay("500", "stranger").await.exit, eq(Exit::Refused));
     let shard = cyc_budget::shard_of(&"league".parse()?, cyc_budget::SHARDS);
     let key = cyc_budget::shard::shard_key(shard);
-    let object = cyc_platform::Platform::get(&store, &key).await?.or_fail()?;
+    let object = cyc_store::Platform::get(&store, &key).await?.or_fail()?;
     let shard: cyc_budget::Shard = serde_json::from_slice(&object.body)?;
     let record = shard.budgets.get(&"league".parse()?).or_fail()?;
     expect_that!(record.paid.get(), eq(500));
--- a/crates/cli/tests/cli/reports.rs
+++ b/crates/cli/tests/cli/reports.rs
@@ -6,9 +6,9 @@
     LevelCount, RefusalCount, Segment, Series,
     level::{Count, MINUTE},
 };
-use cyc_platform::{Expect, HttpPlatform, Platform as _};
 use cyc_proto::sidecar::RouteClass;
 use cyc_standin::{platform, serve::Server, store::Store};
+use cyc_store::{Expect, HttpPlatform, Platform as _};
 use cyc_types::{Clock, ErrorKind, Incarnation, Millis, Tokens};
 use googletest::prelude::*;
 use serde_json::Value;
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -7,7 +7,7 @@
     ops::RangeInclusive,
 };
 
-use cyc_platform::MAX_VALUE;
+use cyc_store::MAX_VALUE;
 use cyc_types::{Millis, ServiceId};
 
 use crate::{
--- a/crates/config/src/part.rs
+++ b/crates/config/src/part.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cyc_platform::{Kind, ObjectKey};
+use cyc_store::{Kind, ObjectKey};
 use cyc_types::{ClientAccountId, Revision, hash};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LoadError {
     /// The platform gave no answer.
-    Platform(cyc_platform::Error),
+    Platform(cyc_store::Error),
     /// The stored or received configuration is not valid.
     Corrupt(Vec<Problem>),
 }
@@ -47,8 +47,8 @@
 
 impl std::error::Error for LoadError {}
 
-impl From<cyc_platform::Error> for LoadError {
-    fn from(error: cyc_platform::Error) -> Self {
+impl From<cyc_store::Error> for LoadError {
+    fn from(error: cyc_store::Error) -> Self {
         Self::Platform(error)
     }
 }
--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, fmt, sync::Arc};
 
 use bytes::Bytes;
-use cyc_platform::{Error, Expect, Kind, ObjectKey, Platform};
+use cyc_store::{Error, Expect, Kind, ObjectKey, Platform};
 use cyc_types::{Millis, Revision, Version};
 use smol_str::{SmolStr, format_smolstr};
 
--- a/crates/config/tests/config/fake.rs
+++ b/crates/config/tests/config/fake.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use cyc_config::{Head, part::Accepted};
-use cyc_platform::{Body, Change, Error, Expect, Kind, Object, ObjectKey, Platform, Result, Vm};
+use cyc_store::{Body, Change, Error, Expect, Kind, Object, ObjectKey, Platform, Result, Vm};
 use cyc_types::{ByteSize, Millis, Revision, Version};
 use tokio::sync::Barrier;
 
--- a/crates/config/tests/config/store.rs
+++ b/crates/config/tests/config/store.rs
@@ -4,7 +4,7 @@
     InForce, KeyOwner, LoadError, Revised as _, ServicesInForce, ServicesSnapshot, Snapshot,
     SubmitError, store,
 };
-use cyc_platform::Error;
+use cyc_store::Error;
 use cyc_types::Revision;
 use googletest::prelude::*;
 use tokio::sync::Barrier;
--- a/crates/cyclamenlead/src/lib.rs
+++ b/crates/cyclamenlead/src/lib.rs
@@ -76,7 +76,7 @@
 
 /// The platform's services.
 pub mod platform {
-    pub use cyc_platform::*;
+    pub use cyc_store::*;
 }
 
 /// Budgets held in escrow.
--- a/crates/entry/src/control/contacts.rs
+++ b/crates/entry/src/control/contacts.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use cyc_member::{Backoff, contacts};
-use cyc_platform::Platform;
+use cyc_store::Platform;
 use cyc_types::{Incarnation, Millis, TargetId};
 
 use crate::app::App;
--- a/crates/entry/src/control/duty.rs
+++ b/crates/entry/src/control/duty.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 use cyc_member::{Role, list};
-use cyc_platform::Platform;
+use cyc_store::Platform;
 use cyc_types::{VmId, hash};
 
 use crate::app::App;
--- a/crates/entry/src/control/follow.rs
+++ b/crates/entry/src/control/follow.rs
@@ -4,11 +4,11 @@
 
 use cyc_config::{LoadError, Revised as _, Snapshot, store};
 use cyc_member::Backoff;
-use cyc_platform::{Kind, Platform};
 use cyc_proto::{
     Link, ProcessKey,
     peer::{ConfigRequest, PeerClient as _},
 };
+use cyc_store::{Kind, Platform};
 use cyc_types::{Millis, Version};
 
 use crate::{app::App, fleet::Place};
--- a/crates/entry/src/control/lend.rs
+++ b/crates/entry/src/control/lend.rs
@@ -14,11 +14,11 @@
 
 use cyc_budget::Lack;
 use cyc_member::{Member, Role};
-use cyc_platform::Platform;
 use cyc_proto::{
     Link, ProcessKey,
     peer::{LendRequest, PeerClient as _, RepayRequest},
 };
+use cyc_store::Platform;
 use cyc_types::{Incarnation, Millis, Tokens};
 
 use crate::app::App;
--- a/crates/entry/src/control/merge.rs
+++ b/crates/entry/src/control/merge.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cyc_ledger::merge;
-use cyc_platform::Platform;
+use cyc_store::Platform;
 use cyc_types::Millis;
 
 use crate::{app::App, control::duty::Duty};
--- a/crates/entry/src/control/reclaim.rs
+++ b/crates/entry/src/control/reclaim.rs
@@ -9,11 +9,11 @@
     reclaim::{Options, Outcome},
 };
 use cyc_member::fence;
-use cyc_platform::Platform;
 use cyc_proto::{
     LinkError,
     sidecar::{FenceReply, FenceRequest, ReleaseRequest, SidecarClient as _},
 };
+use cyc_store::Platform;
 use cyc_types::{Incarnation, Millis, RequestId, TargetId};
 
 use crate::{app::App, control::duty::Duty, fleet::Sidecar};
--- a/crates/entry/src/control/vms.rs
+++ b/crates/entry/src/control/vms.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use cyc_platform::{Platform, VmState};
+use cyc_store::{Platform, VmState};
 use cyc_types::{Millis, VmId};
 
 use crate::app::App;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,10 +7,10 @@
 use cyc_ledger::{Flusher, flush};
 use cyc_member::{Entry as MemberEntry, Role, register};
 use cyc_obs::Metrics;
-use cyc_platform::{HttpPlatform, Platform};
 use cyc_proto::{ProcessKey, bind, peer::PeerServer as _, serve};
 use cyc_route::{Pools, health, pool};
 use cyc_settings::{EntrySettings, GrantPolicy};
+use cyc_store::{HttpPlatform, Platform};
 use cyc_types::{Clock, Incarnation, Millis};
 use tokio::{net::TcpListener, sync::watch};
 
--- a/crates/ledger/src/flush.rs
+++ b/crates/ledger/src/flush.rs
@@ -7,8 +7,8 @@
 };
 
 use cyc_budget::Purse;
-use cyc_platform::{Body, Error, Expect, ObjectKey, Platform};
 use cyc_proto::{GrantId, Receipt};
+use cyc_store::{Body, Error, Expect, ObjectKey, Platform};
 use cyc_types::{BudgetId, Clock, ErrorKind, Incarnation, Millis, RequestId, Tokens};
 use tokio::{
     sync::{Notify, mpsc, oneshot},
--- a/crates/ledger/src/merge.rs
+++ b/crates/ledger/src/merge.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cyc_budget::{Applied, Op, Purse, Record};
-use cyc_platform::{Body, Error, Expect, Kind, ObjectKey, Platform, Result};
+use cyc_store::{Body, Error, Expect, Kind, ObjectKey, Platform, Result};
 use cyc_types::{BudgetId, Millis, RequestId, Tokens};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/ledger/src/read.rs
+++ b/crates/ledger/src/read.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cyc_budget::{Record, Shard};
-use cyc_platform::{Error, Kind, Platform, Result};
+use cyc_store::{Error, Kind, Platform, Result};
 use cyc_types::BudgetId;
 
 use crate::segment::Segment;
--- a/crates/ledger/src/reclaim.rs
+++ b/crates/ledger/src/reclaim.rs
@@ -12,8 +12,8 @@
 use async_trait::async_trait;
 use cyc_budget::{Applied, Op, OpError, Purse};
 use cyc_member::{contacts, fence};
-use cyc_platform::{Error, Expect, Kind, Platform, Result};
 use cyc_proto::{GrantId, LinkError, sidecar::FenceReply};
+use cyc_store::{Error, Expect, Kind, Platform, Result};
 use cyc_types::{Clock, Incarnation, Millis, RequestId, TargetId, Tokens, VmId};
 use serde::Deserialize;
 
--- a/crates/ledger/src/report.rs
+++ b/crates/ledger/src/report.rs
@@ -4,7 +4,7 @@
 
 use cyc_budget::{Record, TopUp};
 use cyc_member::{Fences, fence};
-use cyc_platform::{Platform, Result};
+use cyc_store::{Platform, Result};
 use cyc_types::{BudgetId, ClientAccountId, ErrorKind, Incarnation, Tokens};
 use serde::Serialize;
 
--- a/crates/ledger/src/segment.rs
+++ b/crates/ledger/src/segment.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use cyc_platform::{Body, Kind, ObjectKey};
 use cyc_proto::{GrantId, Receipt};
+use cyc_store::{Body, Kind, ObjectKey};
 use cyc_types::{BudgetId, ErrorKind, Incarnation, Millis, Tokens};
 use serde::{Deserialize, Serialize};
 use smol_str::format_smolstr;
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -20,8 +20,8 @@
 use cyc_budget::{
     Keeper, Payment, Purse, Record, Shard, keeper, shard::shard_key, shard_of, top_up,
 };
-use cyc_platform::Platform;
 use cyc_proto::{GrantId, Receipt};
+use cyc_store::Platform;
 use cyc_types::{BudgetId, Clock, Incarnation, Millis, RequestId, Tokens};
 use fake::{Fake, runtime_clock};
 
--- a/crates/ledger/tests/ledger/collect.rs
+++ b/crates/ledger/tests/ledger/collect.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use cyc_budget::Op;
 use cyc_ledger::{Segment, report};
-use cyc_platform::{Body, Change, Expect, Kind, Object, ObjectKey, Result as PlatformResult, Vm};
+use cyc_store::{Body, Change, Expect, Kind, Object, ObjectKey, Result as PlatformResult, Vm};
 use cyc_types::{ByteSize, Version};
 use googletest::prelude::*;
 
--- a/crates/ledger/tests/ledger/flush.rs
+++ b/crates/ledger/tests/ledger/flush.rs
@@ -4,7 +4,7 @@
     Billed, Flusher, Ledger, Segment, flush,
     segment::{self, MAX_SEGMENT_BYTES},
 };
-use cyc_platform::{Expect, Kind, Platform as _};
+use cyc_store::{Expect, Kind, Platform as _};
 use cyc_types::ErrorKind;
 use googletest::prelude::*;
 use tokio::sync::mpsc::UnboundedReceiver;
--- a/crates/ledger/tests/ledger/gate.rs
+++ b/crates/ledger/tests/ledger/gate.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 
 use async_trait::async_trait;
-use cyc_platform::{Body, Change, Error, Expect, Kind, Object, ObjectKey, Platform, Result, Vm};
+use cyc_store::{Body, Change, Error, Expect, Kind, Object, ObjectKey, Platform, Result, Vm};
 use cyc_types::{ByteSize, Millis, Version};
 
 use super::fake::{Fake, Fault};
--- a/crates/ledger/tests/ledger/merge.rs
+++ b/crates/ledger/tests/ledger/merge.rs
@@ -8,7 +8,7 @@
     read,
     report::{self, report},
 };
-use cyc_platform::{Expect, Platform as _};
+use cyc_store::{Expect, Platform as _};
 use cyc_types::ErrorKind;
 use googletest::prelude::*;
 
--- a/crates/ledger/tests/ledger/reclaim.rs
+++ b/crates/ledger/tests/ledger/reclaim.rs
@@ -10,11 +10,11 @@
     reclaim::Outcome,
 };
 use cyc_member::contacts;
-use cyc_platform::{Error, Expect, Kind, ObjectKey, Platform};
 use cyc_proto::{
     LinkError,
     sidecar::{FenceReply, RunningHold},
 };
+use cyc_store::{Error, Expect, Kind, ObjectKey, Platform};
 use cyc_types::TargetId;
 use googletest::prelude::*;
 
--- a/crates/member/src/contacts.rs
+++ b/crates/member/src/contacts.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use cyc_platform::{Error as PlatformError, Expect, Kind, Object, ObjectKey, Platform};
+use cyc_store::{Error as PlatformError, Expect, Kind, Object, ObjectKey, Platform};
 use cyc_types::{Incarnation, TargetId};
 use serde::{Deserialize, Serialize};
 
--- a/crates/member/src/fence.rs
+++ b/crates/member/src/fence.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cyc_platform::{Error as PlatformError, Expect, Kind, ObjectKey, Platform};
+use cyc_store::{Error as PlatformError, Expect, Kind, ObjectKey, Platform};
 use cyc_types::{Incarnation, VmId};
 use serde::{Deserialize, Serialize};
 
--- a/crates/member/src/registry.rs
+++ b/crates/member/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr};
 
-use cyc_platform::{Error as PlatformError, Expect, Kind, Object, ObjectKey, Platform};
+use cyc_store::{Error as PlatformError, Expect, Kind, Object, ObjectKey, Platform};
 use cyc_types::{AvailabilityZone, Incarnation, Millis, TargetId, VmId};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
--- a/crates/orders/src/drive.rs
+++ b/crates/orders/src/drive.rs
@@ -3,7 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use async_trait::async_trait;
-use cyc_platform::{Kind, ObjectKey, Platform};
+use cyc_store::{Kind, ObjectKey, Platform};
 use cyc_types::{Clock, Incarnation, Millis};
 use serde::Deserialize;
 use tokio::sync::watch;
--- a/crates/orders/tests/orders/fake.rs
+++ b/crates/orders/tests/orders/fake.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use cyc_orders::{Adapter, Desired, Engine, EngineError, Fence, Model, Observed, Order, Role};
-use cyc_platform::{
+use cyc_store::{
     Body, Change, Error, Expect, Kind, Object, ObjectKey, Platform, Result as PlatformResult, Vm,
 };
 use cyc_types::{ByteSize, Clock, Millis, Version};
--- a/crates/quickstart/src/bin/measure/config.rs
+++ b/crates/quickstart/src/bin/measure/config.rs
@@ -3,13 +3,13 @@
 use std::time::{Duration, Instant};
 
 use cyc_config::{Document, store};
-use cyc_platform::{Vm, VmState};
 use cyc_quickstart::{
     Deployment, Error, Layout, TargetKind,
     deploy::wait_until,
     load::{Load, Tally},
 };
 use cyc_standin::{client::Client, process::Signal};
+use cyc_store::{Vm, VmState};
 use http::Method;
 use serde_json::Value;
 
--- a/crates/quickstart/src/deploy.rs
+++ b/crates/quickstart/src/deploy.rs
@@ -14,13 +14,13 @@
 use cyc_config::{Document, Revised as _, store};
 use cyc_ledger::report;
 use cyc_member::Member;
-use cyc_platform::HttpPlatform;
 use cyc_proto::{ProcessKey, peer::EntryStatus};
 use cyc_standin::{
     client::Client,
     process::{Process, Signal},
     relay::TcpRelay,
 };
+use cyc_store::HttpPlatform;
 use cyc_types::{Clock, Millis, Revision, Tokens};
 use http::Method;
 use serde_json::json;
--- a/crates/quickstart/tests/e2e/claims/booking.rs
+++ b/crates/quickstart/tests/e2e/claims/booking.rs
@@ -77,7 +77,7 @@
         let index = wait_started(&deployment, "friday").await?;
         let platform = deployment.platform_client();
         wait_until("the claim shows the end", || async {
-            use cyc_platform::{Kind, Platform as _};
+            use cyc_store::{Kind, Platform as _};
             let buckets = platform.list(Kind::Claim, "").await.unwrap_or_default();
             let done = |body: &[u8]| String::from_utf8_lossy(body).contains(r#""done""#);
             buckets.iter().any(|bucket| done(&bucket.body))
--- a/crates/quickstart/tests/e2e/config.rs
+++ b/crates/quickstart/tests/e2e/config.rs
@@ -11,7 +11,6 @@
 
 use cyc_cli::Exit;
 use cyc_config::{Document, Revised as _, SubmitError, store};
-use cyc_platform::Kind;
 use cyc_quickstart::{Deployment, Layout, deploy::wait_until};
 use cyc_standin::{
     client::Client,
@@ -19,6 +18,7 @@
     relay::Direction,
     store::{Faults, LostAnswers},
 };
+use cyc_store::Kind;
 use cyc_types::{ErrorKind, Millis, Outcome, Revision};
 use googletest::prelude::*;
 use http::Method;
--- a/crates/quickstart/tests/e2e/money.rs
+++ b/crates/quickstart/tests/e2e/money.rs
@@ -7,7 +7,6 @@
 
 use cyc_budget::{Record, SHARDS, Shard, shard::shard_key, shard_of};
 use cyc_member::{Contacts, contacts};
-use cyc_platform::Platform as _;
 use cyc_quickstart::{
     Deployment, Error, Layout,
     caller::{Caller, Reply},
@@ -18,6 +17,7 @@
     client::Client,
     process::{Process, Signal},
 };
+use cyc_store::Platform as _;
 use cyc_types::{BudgetId, ErrorKind, Incarnation};
 use futures::future::join_all;
 use googletest::prelude::*;
--- a/crates/quickstart/tests/e2e/stops.rs
+++ b/crates/quickstart/tests/e2e/stops.rs
@@ -2,7 +2,6 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use cyc_platform::{Vm, VmState};
 use cyc_proto::peer::EntryStatus;
 use cyc_quickstart::{
     Deployment, Layout, TargetKind,
@@ -11,6 +10,7 @@
     load::{Ask, Load, Tally},
 };
 use cyc_standin::{client::Client, engine::expected_text, process::Signal};
+use cyc_store::{Vm, VmState};
 use cyc_types::{ErrorKind, Outcome};
 use googletest::prelude::*;
 use http::Method;
--- a/crates/quickstart/tests/e2e/support.rs
+++ b/crates/quickstart/tests/e2e/support.rs
@@ -49,7 +49,7 @@
     let id = budget.parse().map_err(|_| refused(budget.to_owned()))?;
     let key = cyc_budget::shard::shard_key(cyc_budget::shard_of(&id, cyc_budget::SHARDS));
     let client = deployment.platform_client();
-    let object = cyc_platform::Platform::get(&client, &key)
+    let object = cyc_store::Platform::get(&client, &key)
         .await
         .map_err(|error| refused(error.to_string()))?
         .ok_or_else(|| refused(format!("{key} is absent")))?;
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -5,10 +5,10 @@
 use cyc_claim::{Committer, commit};
 use cyc_member::{Backoff, Entry as MemberEntry, Role, fence, register};
 use cyc_orders::FenceCheck;
-use cyc_platform::{HttpPlatform, Platform};
 use cyc_proto::{ProcessKey, bind, serve, sidecar::SidecarServer as _};
 use cyc_route::{Pools, pool};
 use cyc_settings::{SidecarSettings, TargetKind};
+use cyc_store::{HttpPlatform, Platform};
 use cyc_types::{Clock, Incarnation, Millis};
 
 use crate::{
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -8,7 +8,7 @@
     Adapter, Desired, Driver, Engine, EngineError, Fence, FenceCheck, Model, Observed, Order, Role,
     Step,
 };
-use cyc_platform::Platform;
+use cyc_store::Platform;
 use cyc_types::{ByteSize, ModelId, Revision};
 use serde_json::{Value, json};
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,7 +7,7 @@
     routing::{get, post},
 };
 use bytes::Bytes;
-use cyc_platform::{
+use cyc_store::{
     Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Platform as _, Result, Vm,
     wire::{ChangeItem, ListItem, ListQuery, PermitReply, PermitRequest, WatchQuery},
 };
@@ -146,7 +146,7 @@
     let changes = store
         .watch(kind, &query.prefix, query.since, query.wait_ms)
         .await?;
-    let item = |change: cyc_platform::Change| ChangeItem {
+    let item = |change: cyc_store::Change| ChangeItem {
         name: change.key.name,
         version: change.version,
         deleted: change.deleted,
--- a/crates/standin/src/store/api.rs
+++ b/crates/standin/src/store/api.rs
@@ -1,7 +1,7 @@
 //! The calls of the platform, in process.
 
 use async_trait::async_trait;
-use cyc_platform::{Body, Change, Expect, Kind, Object, ObjectKey, Platform, Result, Vm};
+use cyc_store::{Body, Change, Expect, Kind, Object, ObjectKey, Platform, Result, Vm};
 use cyc_types::{ByteSize, Millis, Version};
 use tokio::time::Instant;
 
--- a/crates/standin/src/store/counters.rs
+++ b/crates/standin/src/store/counters.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cyc_platform::Kind;
+use cyc_store::Kind;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
 
--- a/crates/standin/src/store/faults.rs
+++ b/crates/standin/src/store/faults.rs
@@ -1,6 +1,6 @@
 //! Faults of the platform that can be switched at run time.
 
-use cyc_platform::Kind;
+use cyc_store::Kind;
 use cyc_types::{Millis, hash};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,6 +1,6 @@
 //! The platform in memory: object API, VM list and weight store, with faults.
 //!
-//! [`Store`] implements [`cyc_platform::Platform`], so that tests use it in their own process;
+//! [`Store`] implements [`cyc_store::Platform`], so that tests use it in their own process;
 //! [`crate::platform`] serves it over HTTP.
 
 mod api;
@@ -12,7 +12,7 @@
 
 use counters::Tally;
 pub use counters::{CallCount, Counters, Operation};
-use cyc_platform::{Change, Error, Kind, Object, ObjectKey, Result, Vm};
+use cyc_store::{Change, Error, Kind, Object, ObjectKey, Result, Vm};
 use cyc_types::{ByteSize, Clock, Millis, Version};
 use faults::FaultState;
 pub use faults::{Faults, LostAnswers};
--- a/crates/standin/src/store/objects.rs
+++ b/crates/standin/src/store/objects.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cyc_platform::{Body, Change, Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Result};
+use cyc_store::{Body, Change, Error, Expect, Kind, MAX_VALUE, Object, ObjectKey, Result};
 use cyc_types::{ByteSize, Version};
 
 /// All objects. Nothing here waits or fails by itself.
--- a/crates/standin/tests/standin/platform.rs
+++ b/crates/standin/tests/standin/platform.rs
@@ -1,14 +1,14 @@
 //! The platform's contract, in process and over HTTP with the same table.
 
-use cyc_platform::{
-    Body, Change, Error, Expect, HttpPlatform, Kind, MAX_VALUE, Object, ObjectKey, Platform, Vm,
-    VmState,
-};
 use cyc_standin::{
     platform,
     serve::Server,
     store::{Faults, LostAnswers, Operation, Store},
 };
+use cyc_store::{
+    Body, Change, Error, Expect, HttpPlatform, Kind, MAX_VALUE, Object, ObjectKey, Platform, Vm,
+    VmState,
+};
 use cyc_types::{ByteSize, Clock, Millis, Version};
 use googletest::prelude::*;
 
--- a/crates/standin/tests/standin/programs.rs
+++ b/crates/standin/tests/standin/programs.rs
@@ -1,12 +1,12 @@
 //! The three programs as real processes, under signals.
 
-use cyc_platform::{Error as PlatformError, HttpPlatform, Platform as _};
 use cyc_standin::{
     client::Client,
     engine::Load,
     process::{Error, Process, Signal},
     service::Answer,
 };
+use cyc_store::{Error as PlatformError, HttpPlatform, Platform as _};
 use googletest::prelude::*;
 use http::Method;
 use serde_json::json;
--- a/crates/platform/tests/platform.rs
+++ b/crates/store/tests/platform.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
-use cyc_platform::{Body, Error, Expect, HttpPlatform, Kind, MAX_VALUE, ObjectKey, Platform as _};
+use cyc_store::{Body, Error, Expect, HttpPlatform, Kind, MAX_VALUE, ObjectKey, Platform as _};
 use cyc_types::{ByteSize, Millis, Version};
 use googletest::prelude::*;
 use tokio::{
