--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,116 @@
+//! Answers of the entry's own: refusals and failures.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use cyc_types::{ErrorKind, Millis};
+use futures::Stream;
+use http::{HeaderValue, Response, StatusCode, header};
+use hyper::body::{Body, Frame, SizeHint};
+
+/// An answer that ends before it is whole; the connection to the caller is closed without the end
+/// of the body, so that nobody takes it for whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer ended early")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// The body of an answer to a caller.
+pub enum Reply {
+    /// All of it, or `None` once it is sent.
+    Whole(Option<Bytes>),
+    /// Pieces as they come.
+    Stream(Pin<Box<dyn Stream<Item = Result<Bytes, Cut>>>>),
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match &mut *self {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Stream(stream) => {
+                let next = stream.as_mut().poll_next(cx);
+                next.map(|next| next.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None)) || matches!(self, Self::Whole(Some(b)) if b.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A refusal or failure of the entry's own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failure {
+    /// What happened.
+    pub kind: ErrorKind,
+    /// When the caller should come back.
+    pub retry_after: Option<Millis>,
+    /// More, for the log and the caller.
+    pub detail: String,
+}
+
+impl Failure {
+    /// Creates a failure.
+    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            retry_after: None,
+            detail: detail.into(),
+        }
+    }
+
+    /// Sets when the caller should come back.
+    pub fn with_retry_after(mut self, after: Millis) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the answer to the caller.
+    pub fn response(&self) -> Response<Reply> {
+        let row = self.kind.answer();
+        let body = serde_json::json!({
+            "error": self.kind.to_string(),
+            "outcome": row.outcome.to_string(),
+            "detail": self.detail,
+        });
+        let mut response = Response::new(Reply::Whole(Some(body.to_string().into())));
+        *response.status_mut() =
+            StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(after) = self.retry_after {
+            let seconds = format!("{:.3}", after.get() as f64 / 1_000.0);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/choose.rs
@@ -0,0 +1,162 @@
+//! The choice of a target, from plain inputs.
+//!
+//! Generations: prompts with a common start are cheap where that start is cached. Each start has
+//! home targets that all entries find by rendezvous hashing, so that entries share one cache
+//! without talking to each other. A home that is busy loses to another target as soon as waiting
+//! there costs more than reading the shared parts again.
+//!
+//! Plain services: the least loaded target, in this availability zone if it can.
+
+use cyc_types::{Millis, hash};
+
+use crate::call::PromptPart;
+
+/// Homes of a common start, in rendezvous order.
+const HOMES: usize = 2;
+
+/// The weights of the choice.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// Prompt tokens that an engine reads in a millisecond, until it is measured.
+    pub prompt_tokens_per_ms: f64,
+    /// Delay by each request that the target is known to run.
+    pub running_ms: f64,
+    /// Delay by each request that waits at the target.
+    pub waiting_ms: f64,
+    /// Delay that a target in another availability zone is taken for; stands for the price of
+    /// the bytes too.
+    pub zone_ms: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            prompt_tokens_per_ms: 30.0,
+            running_ms: 2.0,
+            waiting_ms: 60.0,
+            zone_ms: 12.0,
+        }
+    }
+}
+
+/// A target as input of the choice.
+#[derive(Debug, Clone)]
+pub struct Candidate<'a> {
+    /// The target's id.
+    pub id: &'a str,
+    /// True if it is in this entry's availability zone.
+    pub is_near: bool,
+    /// Requests of this entry that it has not answered.
+    pub in_flight: u32,
+    /// Prompt tokens of this entry's requests that it has not finished reading.
+    pub unread: u64,
+    /// Requests of all entries that it runs, by its last answer.
+    pub running: u32,
+    /// Requests of all entries that wait there, by its last answer.
+    pub waiting: u32,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Measured time of its answers over the expected one.
+    pub slowness: f64,
+    /// Leading shared parts of the prompt that this entry knows to be cached there.
+    pub cached_parts: usize,
+}
+
+/// The request as input of the choice.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Prompt tokens.
+    pub input: u64,
+    /// The parts that other requests may share.
+    pub shared: &'a [PromptPart],
+}
+
+/// A choice with what it was made from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Estimated time until the request is read.
+    pub estimate: Millis,
+    /// Prompt tokens that have to be read.
+    pub uncached: u64,
+}
+
+/// Chooses a target; `None` if there are no candidates.
+pub fn choose(
+    candidates: &[Candidate<'_>],
+    ask: Option<Ask<'_>>,
+    options: &Options,
+) -> Option<Choice> {
+    match ask {
+        Some(ask) => choose_engine(candidates, ask, options),
+        None => choose_plain(candidates, options),
+    }
+}
+
+fn choose_engine(
+    candidates: &[Candidate<'_>],
+    ask: Ask<'_>,
+    options: &Options,
+) -> Option<Choice> {
+    let homes = homes(candidates, ask.shared);
+    let costs = candidates.iter().enumerate().map(|(index, candidate)| {
+        let rank = homes.iter().position(|home| *home == index);
+        let uncached = uncached_tokens(candidate, rank, ask);
+        let reading = (candidate.unread + uncached) as f64 / options.prompt_tokens_per_ms;
+        let sharing = f64::from(candidate.running.max(candidate.in_flight)) * options.running_ms;
+        let queue = f64::from(candidate.waiting) * options.waiting_ms;
+        let zone = if candidate.is_near { 0.0 } else { options.zone_ms };
+        let wait = (reading + sharing + queue) * candidate.slowness.max(0.1);
+        (wait + zone, wait, index, uncached)
+    });
+    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(Choice {
+        index: best.2,
+        estimate: Millis::new(best.1 as u64),
+        uncached: best.3,
+    })
+}
+
+fn choose_plain(candidates: &[Candidate<'_>], options: &Options) -> Option<Choice> {
+    let costs = candidates.iter().enumerate().map(|(index, candidate)| {
+        let slots = f64::from(candidate.slots.max(1));
+        let busy = f64::from(candidate.running.max(candidate.in_flight)) / slots;
+        let queue = f64::from(candidate.waiting) * options.waiting_ms;
+        let zone = if candidate.is_near { 0.0 } else { options.zone_ms };
+        let wait = (busy * options.waiting_ms + queue) * candidate.slowness.max(0.1);
+        (wait + zone, wait, index)
+    });
+    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(Choice {
+        index: best.2,
+        estimate: Millis::new(best.1 as u64),
+        uncached: 0,
+    })
+}
+
+/// Returns the homes of the deepest shared part, in order.
+fn homes(candidates: &[Candidate<'_>], shared: &[PromptPart]) -> Vec<usize> {
+    let Some(subject) = shared.last() else {
+        return Vec::new();
+    };
+    let weight = |index: &usize| hash::rendezvous(subject.id, candidates[*index].id);
+    let mut ranked: Vec<usize> = (0..candidates.len()).collect();
+    ranked.sort_by_key(|index| std::cmp::Reverse(weight(index)));
+    ranked.truncate(HOMES);
+    ranked
+}
+
+/// Returns the tokens that have to be read: at the first home other entries' requests have
+/// probably left the shared parts, at the second one perhaps.
+fn uncached_tokens(candidate: &Candidate<'_>, rank: Option<usize>, ask: Ask<'_>) -> u64 {
+    let all: u64 = ask.shared.iter().map(|part| part.tokens.get()).sum();
+    let known = &ask.shared[..candidate.cached_parts.min(ask.shared.len())];
+    let known: u64 = known.iter().map(|part| part.tokens.get()).sum();
+    let assumed = match rank {
+        Some(0) => all,
+        Some(_) => all / 2,
+        None => 0,
+    };
+    ask.input.saturating_sub(known.max(assumed))
+}
--- /dev/null
+++ b/crates/gateway/src/conn.rs
@@ -0,0 +1,157 @@
+//! Connections to one target: opened on demand, kept while idle, used for one request at a time.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cyc_types::Millis;
+use futures::FutureExt as _;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::JoinHandle,
+    time::Instant,
+};
+
+/// How long opening a connection may take: a few round trips between availability zones, and less
+/// than the first retransmission of the opening packet.
+pub const CONNECT_TIMEOUT: Millis = Millis::new(400);
+/// Sent bytes that are not acknowledged for this long break the connection.
+pub const UNACKNOWLEDGED_TIMEOUT: Millis = Millis::new(1_500);
+/// A silent connection is probed after this long.
+const KEEPALIVE_AFTER: Millis = Millis::new(1_000);
+/// An idle connection is not used again after this long if the target has not said how long it
+/// keeps it.
+const IDLE_DEFAULT: Millis = Millis::new(4_000);
+/// The target's own limit is undercut by this much, so that a request does not meet its close.
+const IDLE_MARGIN: Millis = Millis::new(400);
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// An open connection. Closed when dropped.
+#[derive(Debug)]
+pub struct Conn {
+    /// Sends the next request.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// True if no request was sent before.
+    pub is_fresh: bool,
+    task: JoinHandle<()>,
+    open: Rc<Cell<u32>>,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.open.set(self.open.get().saturating_sub(1));
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    conn: Conn,
+    until: Instant,
+}
+
+/// The connections to one target.
+#[derive(Debug)]
+pub struct Pool {
+    addr: SocketAddr,
+    idle: RefCell<Vec<Idle>>,
+    open: Rc<Cell<u32>>,
+}
+
+impl Pool {
+    /// Creates a pool without connections.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            idle: RefCell::new(Vec::new()),
+            open: Rc::new(Cell::new(0)),
+        }
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> u32 {
+        self.open.get()
+    }
+
+    /// Takes the idle connection that was used last.
+    pub fn take_idle(&self) -> Option<Conn> {
+        let now = Instant::now();
+        loop {
+            let mut idle = self.idle.borrow_mut().pop()?;
+            let is_ready = matches!(idle.conn.sender.ready().now_or_never(), Some(Ok(())));
+            if idle.until > now && is_ready {
+                return Some(idle.conn);
+            }
+        }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// The error of the socket; nothing was sent.
+    pub async fn connect(&self) -> io::Result<Conn> {
+        let timeout = CONNECT_TIMEOUT.duration();
+        let stream = tokio::time::timeout(timeout, connect(self.addr)).await??;
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let task = tokio::task::spawn_local(async move {
+            // The request on the connection gets the same error.
+            conn.await.ok();
+        });
+        self.open.set(self.open.get() + 1);
+        Ok(Conn {
+            sender,
+            is_fresh: true,
+            task,
+            open: self.open.clone(),
+        })
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub fn give_back(&self, mut conn: Conn, keep_alive: Option<Millis>) {
+        if conn.sender.is_closed() {
+            return;
+        }
+        let limit = keep_alive.map_or(IDLE_DEFAULT, |limit| limit.saturating_sub(IDLE_MARGIN));
+        conn.is_fresh = false;
+        let until = Instant::now() + limit.min(IDLE_DEFAULT).duration();
+        let mut idle = self.idle.borrow_mut();
+        let now = Instant::now();
+        idle.retain(|idle| idle.until > now && !idle.conn.sender.is_closed());
+        idle.push(Idle { conn, until });
+    }
+}
+
+/// Opens a connection that notices a silent peer.
+///
+/// # Errors
+/// The error of the socket.
+pub async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    let stream = socket.connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_AFTER.duration())
+        .with_interval(Duration::from_secs(1))
+        .with_retries(2);
+    let options = SockRef::from(&stream);
+    options.set_tcp_keepalive(&keepalive)?;
+    options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT.duration()))?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,41 @@
+//! The controllers that keep the entry's state: configuration, list of targets, prepaid tokens.
+
+mod config;
+mod shares;
+mod targets;
+
+pub use config::follow_configuration;
+pub use shares::keep_shares;
+pub use targets::follow_targets;
+
+use cyc_types::Millis;
+
+/// How long one watch waits: short, so that a connection that has gone silent is noticed before
+/// a change is due.
+pub const WATCH_WAIT: Millis = Millis::new(2_000);
+/// Pause after a failed call to the store; it grows to [`PAUSE_MAX`].
+pub const PAUSE_MIN: Millis = Millis::new(50);
+/// The longest pause between calls to a store that does not answer.
+pub const PAUSE_MAX: Millis = Millis::new(400);
+
+/// The pause after failed calls: doubles from [`PAUSE_MIN`] to [`PAUSE_MAX`], with a random part
+/// so that entries do not call together.
+#[derive(Debug, Default)]
+pub struct Pause {
+    failures: u32,
+}
+
+impl Pause {
+    /// Notes a call that was answered, and returns the number of failures before it.
+    pub fn reset(&mut self) -> u32 {
+        std::mem::take(&mut self.failures)
+    }
+
+    /// Notes a failure and returns how long to wait.
+    pub fn next(&mut self) -> Millis {
+        let base = PAUSE_MIN.get() << self.failures.min(8);
+        self.failures += 1;
+        let base = base.min(PAUSE_MAX.get());
+        Millis::new(base / 2 + rand::random_range(0..=base / 2))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/config.rs
@@ -0,0 +1,77 @@
+//! Follows the configuration.
+
+use std::rc::Rc;
+
+use cyc_types::{Millis, Version};
+use tokio::time::sleep;
+
+use super::{Pause, WATCH_WAIT};
+use crate::{
+    config::Configuration,
+    port::{Store, StoreError, Wire},
+    state::State,
+};
+
+/// Follows the configuration until the process ends.
+pub async fn follow_configuration<W: Wire, S: Store>(state: Rc<State<W>>, store: Rc<S>) {
+    let mut pause = Pause::default();
+    let mut since: Option<Version> = None;
+    loop {
+        let read = match since {
+            None => store.configuration().await,
+            Some(since) => store.next_configuration(since, WATCH_WAIT).await,
+        };
+        match read {
+            Ok((config, version)) => {
+                let lost = pause.reset();
+                if lost > 0 {
+                    spdlog::info!("configuration followed again", kv: { failures = lost });
+                }
+                let is_missing = config.is_none() && since.is_none();
+                since = Some(version);
+                match config {
+                    Some(config) => apply(&state, config),
+                    None if is_missing => sleep(super::PAUSE_MIN.duration()).await,
+                    None => {}
+                }
+            }
+            Err(error) => {
+                if error == StoreError::HistoryGone {
+                    since = None;
+                }
+                let wait = lost(&mut pause, &error);
+                sleep(wait.duration()).await;
+            }
+        }
+    }
+}
+
+fn lost(pause: &mut Pause, error: &StoreError) -> Millis {
+    let wait = pause.next();
+    spdlog::warn!("configuration cannot be read", kv: {
+        error = error.to_string(),
+        again_ms = wait.get(),
+    });
+    wait
+}
+
+/// Puts a configuration in force, unless a newer one is.
+pub fn apply<W>(state: &State<W>, config: Configuration) {
+    let current = state.config.borrow().as_ref().map(|config| config.revision);
+    if current.is_some_and(|current| current >= config.revision) {
+        return;
+    }
+    let totals = config.accounts().iter().filter_map(|account| {
+        let paid = account.prepaid?;
+        Some((account.id.clone(), paid))
+    });
+    state.wallet.borrow_mut().set_prepaid(totals);
+    spdlog::info!("configuration in force", kv: {
+        revision = config.revision.get(),
+        before = current.map_or(0, |revision| revision.get()),
+        accounts = config.accounts().len(),
+    });
+    *state.config.borrow_mut() = Some(Rc::new(config));
+    state.draw_wanted.notify_one();
+    state.wallet_changed.notify_waiters();
+}
--- /dev/null
+++ b/crates/gateway/src/control/shares.rs
@@ -0,0 +1,100 @@
+//! Keeps the prepaid tokens of this entry: draws, returns and the sign that it runs.
+
+use std::rc::Rc;
+
+use cyc_types::Millis;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::Pause;
+use crate::{
+    port::{Store, StoreError, Wire, Written},
+    share::Plan,
+    state::State,
+};
+
+/// Time between looks at the wallet: draws are sized for seconds of use.
+const TICK: Millis = Millis::new(500);
+/// The shortest time between two writes, so that a burst of requests shares one.
+const GAP: Millis = Millis::new(30);
+
+/// Keeps the wallet until the process ends.
+pub async fn keep_shares<W: Wire, S: Store>(state: Rc<State<W>>, store: Rc<S>) {
+    let mut pause = Pause::default();
+    loop {
+        let result = step(&state, &*store).await;
+        match result {
+            Ok(is_done) => {
+                let failures = pause.reset();
+                if failures > 0 {
+                    spdlog::info!("prepaid record reached again", kv: { failures = failures });
+                }
+                if is_done {
+                    sleep(GAP.duration()).await;
+                    // A timeout is the usual tick.
+                    let wanted = state.draw_wanted.notified();
+                    timeout(TICK.saturating_sub(GAP).duration(), wanted).await.ok();
+                }
+            }
+            Err(error) => {
+                let wait = pause.next();
+                spdlog::warn!("prepaid record cannot be reached", kv: {
+                    error = error.to_string(),
+                    again_ms = wait.get(),
+                });
+                sleep(wait.duration()).await;
+            }
+        }
+    }
+}
+
+/// Reads and writes the record if that is due. Returns false if another try should follow at
+/// once.
+async fn step<W: Wire, S: Store>(state: &State<W>, store: &S) -> Result<bool, StoreError> {
+    if !state.wallet.borrow().is_due(state.now()) {
+        return Ok(true);
+    }
+    let (version, shares) = store.shares().await?;
+    let plan = {
+        let mut wallet = state.wallet.borrow_mut();
+        wallet.observe(version, shares, state.now());
+        wallet.plan(state.now())
+    };
+    state.wallet_changed.notify_waiters();
+    let Some(plan) = plan else {
+        return Ok(true);
+    };
+    let asked = Instant::now();
+    let written = store.write_shares(&plan).await;
+    let mut wallet = state.wallet.borrow_mut();
+    match &written {
+        Ok(Written::Done(version)) => wallet.written(*version, state.now()),
+        // The next read tells whether an earlier send of the plan was made.
+        Ok(Written::Conflict) => {}
+        Err(StoreError::Refused(_)) => wallet.refused(),
+        Err(_) => wallet.unanswered(),
+    }
+    drop(wallet);
+    state.wallet_changed.notify_waiters();
+    log(&plan, &written, asked);
+    written.map(|written| written != Written::Conflict)
+}
+
+fn log(plan: &Plan, written: &Result<Written, StoreError>, asked: Instant) {
+    let outcome = match written {
+        Ok(Written::Done(_)) => "written".to_string(),
+        Ok(Written::Conflict) => "conflict".to_string(),
+        Err(error) => error.to_string(),
+    };
+    let base = plan.base.map_or(0, |version| version.get());
+    let took_ms = asked.elapsed().as_millis() as u64;
+    for step in &plan.moves {
+        spdlog::info!("prepaid move", kv: {
+            account = step.account.as_str(),
+            drawn = step.drawn.get(),
+            returned = step.returned.get(),
+            base = base,
+            took_ms = took_ms,
+            outcome = outcome.as_str(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/targets.rs
@@ -0,0 +1,100 @@
+//! Follows the list of targets.
+
+use std::rc::Rc;
+
+use cyc_types::{TargetId, Version};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::{Pause, WATCH_WAIT};
+use crate::{
+    member::Outcome,
+    port::{Store, StoreError, Wire},
+    state::State,
+};
+
+/// Failed calls in a row after which the store counts as having been away.
+const AWAY_FAILURES: u32 = 2;
+
+/// Follows the list of targets until the process ends.
+pub async fn follow_targets<W: Wire, S: Store>(state: Rc<State<W>>, store: Rc<S>) {
+    let mut pause = Pause::default();
+    let mut since: Option<Version> = None;
+    loop {
+        let from = since;
+        let read = async {
+            match from {
+                None => store.targets().await,
+                Some(from) => store.next_targets(from, WATCH_WAIT).await,
+            }
+        };
+        tokio::pin!(read);
+        let read = loop {
+            let due = state.members.borrow().next_expiry();
+            let wait = due.map(|due| due.saturating_sub(state.now()));
+            let expiry = Instant::now() + wait.unwrap_or(WATCH_WAIT + WATCH_WAIT).duration();
+            tokio::select! {
+                read = &mut read => break read,
+                () = sleep_until(expiry) => expire(&state),
+            }
+        };
+        match read {
+            Ok((changes, version)) => {
+                let failures = pause.reset();
+                if failures > 0 {
+                    spdlog::info!("targets followed again", kv: { failures = failures });
+                }
+                let now = state.now();
+                if failures >= AWAY_FAILURES {
+                    state.members.borrow_mut().store_returned(now);
+                }
+                let is_list = since.is_none();
+                since = Some(version);
+                let mut members = state.members.borrow_mut();
+                let outcomes = if is_list {
+                    members.replace(changes, now)
+                } else {
+                    let apply = |change: crate::member::Change| {
+                        (change.id().clone(), members.apply(change, now))
+                    };
+                    changes.into_iter().map(apply).collect()
+                };
+                drop(members);
+                note(&state, &outcomes, version);
+                state.members_known.set(true);
+            }
+            Err(error) => {
+                if error == StoreError::HistoryGone {
+                    since = None;
+                }
+                let wait = pause.next();
+                spdlog::warn!("targets cannot be read", kv: {
+                    error = error.to_string(),
+                    again_ms = wait.get(),
+                });
+                sleep(wait.duration()).await;
+            }
+        }
+    }
+}
+
+fn expire<W>(state: &State<W>) {
+    let gone = state.members.borrow_mut().expire(state.now());
+    let gone: Vec<(TargetId, Outcome)> = gone.into_iter().map(|id| (id, Outcome::Gone)).collect();
+    note(state, &gone, Version::ZERO);
+}
+
+fn note<W>(state: &State<W>, outcomes: &[(TargetId, Outcome)], version: Version) {
+    let changed = outcomes.iter().filter(|(_, outcome)| *outcome != Outcome::Same);
+    let mut is_changed = false;
+    for (id, outcome) in changed {
+        is_changed = true;
+        spdlog::info!("target", kv: {
+            target = id.as_str(),
+            outcome = outcome.to_string(),
+            version = version.get(),
+        });
+    }
+    if is_changed {
+        state.refresh_fleet();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,112 @@
+//! The entry process: state, controllers, listeners and the planned stop.
+
+use std::{fmt, io, net::SocketAddr, rc::Rc};
+
+use cyc_obs::Metrics;
+use cyc_types::{AvailabilityZone, Millis, VmId};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    control,
+    port::{Store, Wire},
+    repeat, serve,
+    state::State,
+};
+
+/// Time between looks at the requests in flight during a stop.
+const STOP_TICK: Millis = Millis::new(20);
+/// The process ends this long before the platform would kill it.
+const STOP_MARGIN: Millis = Millis::new(500);
+
+/// What an entry is told at its start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This VM.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether this entry is ready.
+    pub ready: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// The bound for repeats of all entries together.
+    pub repeats: repeat::Options,
+    /// Time from the signal to stop to the end of the process by force.
+    pub grace: Millis,
+}
+
+/// Why an entry ended.
+#[derive(Debug)]
+pub enum Error {
+    /// An address cannot be listened on.
+    Listen(SocketAddr, io::Error),
+    /// The signals cannot be received.
+    Signals(io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(addr, error) => write!(f, "cannot listen on {addr}: {error}"),
+            Self::Signals(error) => write!(f, "cannot receive signals: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Runs an entry until it is told to stop. Needs a local task set on one thread.
+///
+/// # Errors
+/// [`Error`], if the entry cannot start.
+pub async fn run<W: Wire, S: Store>(settings: Settings, wire: W, store: S) -> Result<(), Error> {
+    let start: u64 = rand::random();
+    let state = Rc::new(State::new(wire, &settings, start, Metrics::new_registry()));
+    let store = Rc::new(store);
+    let callers = bind(settings.callers).await?;
+    let ready = bind(settings.ready).await?;
+    if let Some(addr) = settings.metrics {
+        let metrics = bind(addr).await?;
+        tokio::task::spawn_local(serve::serve_metrics(state.clone(), metrics));
+    }
+    spdlog::info!("started", kv: {
+        vm = settings.vm.as_str(),
+        zone = settings.zone.as_str(),
+        callers = settings.callers.to_string(),
+        start = start,
+        version = env!("CARGO_PKG_VERSION"),
+    });
+    tokio::task::spawn_local(control::follow_configuration(state.clone(), store.clone()));
+    tokio::task::spawn_local(control::follow_targets(state.clone(), store.clone()));
+    tokio::task::spawn_local(control::keep_shares(state.clone(), store));
+    tokio::task::spawn_local(serve::serve_ready(state.clone(), ready));
+    tokio::task::spawn_local(serve::serve_callers(state.clone(), callers));
+    cyc_obs::shutdown().await.map_err(Error::Signals)?;
+    stop(&state, settings.grace).await;
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr) -> Result<tokio::net::TcpListener, Error> {
+    let bound = serve::bind(addr).await;
+    bound.map_err(|error| Error::Listen(addr, error))
+}
+
+/// Stops taking new callers, and waits for the requests in flight.
+async fn stop<W: Wire>(state: &State<W>, grace: Millis) {
+    spdlog::info!("stopping", kv: { in_flight = state.in_flight.get() });
+    let end = Instant::now() + grace.saturating_sub(STOP_MARGIN).duration();
+    state.stopping.send_replace(true);
+    sleep((serve::LINGER + STOP_TICK).duration()).await;
+    let idle = async {
+        while state.in_flight.get() > 0 {
+            sleep(STOP_TICK.duration()).await;
+        }
+    };
+    let is_done = timeout_at(end, idle).await.is_ok();
+    spdlog::info!("stopped", kv: {
+        is_done = is_done,
+        in_flight = state.in_flight.get(),
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,316 @@
+//! What this entry knows of each target: its requests there, its reported load, its health and
+//! what it has probably cached.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+};
+
+use cyc_route::{Failure, Health, Standing, health};
+use cyc_types::{AvailabilityZone, Millis, ServiceId, TargetId};
+use smol_str::SmolStr;
+
+use crate::{
+    call::{Prompt, PromptPart},
+    choose::{self, Ask, Candidate, Choice},
+    conn::Pool,
+    member::{Record, TargetState},
+};
+
+/// Failures in a row that take a target out.
+const EJECT_FAILURES: u32 = 2;
+/// Time until a target that was taken out gets a request again.
+const PROBE_MIN: Millis = Millis::new(700);
+/// The longest time between such requests.
+const PROBE_MAX: Millis = Millis::new(4_000);
+/// Parts that a target was sent are taken for cached for this long.
+const CACHED_FOR: Millis = Millis::new(60_000);
+/// Parts remembered per target.
+const CACHED_MAX: usize = 4_096;
+/// A report of load older than this says nothing.
+const LOAD_FOR: Millis = Millis::new(1_500);
+/// Weight of a new measurement of slowness.
+const SLOWNESS_WEIGHT: f64 = 0.25;
+/// Slowness returns halfway to 1 in this time without measurements.
+const SLOWNESS_HALF: Millis = Millis::new(4_000);
+
+/// Load as a target reports it with an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+}
+
+/// One target.
+#[derive(Debug)]
+pub struct Target {
+    /// Its entry in the list.
+    pub record: Record,
+    /// Connections to it.
+    pub pool: Rc<Pool>,
+    health: Health,
+    in_flight: u32,
+    unread: u64,
+    load: Option<(Load, Millis)>,
+    slowness: f64,
+    measured: Millis,
+    cached: HashMap<u64, Millis>,
+}
+
+impl Target {
+    fn new(record: Record, now: Millis) -> Self {
+        let options = health::Options {
+            failures: EJECT_FAILURES,
+            probe_min: PROBE_MIN,
+            probe_max: PROBE_MAX,
+        };
+        Self {
+            pool: Rc::new(Pool::new(record.addr)),
+            record,
+            health: Health::new(options),
+            in_flight: 0,
+            unread: 0,
+            load: None,
+            slowness: 1.0,
+            measured: now,
+            cached: HashMap::new(),
+        }
+    }
+
+    fn slowness(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.measured).get() as f64;
+        let kept = 0.5_f64.powf(age / SLOWNESS_HALF.get() as f64);
+        1.0 + (self.slowness - 1.0) * kept
+    }
+
+    fn cached_parts(&self, shared: &[PromptPart], now: Millis) -> usize {
+        let is_cached = |part: &&PromptPart| {
+            let at = self.cached.get(&part.id);
+            at.is_some_and(|at| now.saturating_sub(*at) <= CACHED_FOR)
+        };
+        shared.iter().take_while(is_cached).count()
+    }
+
+    fn candidate<'a>(
+        &'a self,
+        zone: &AvailabilityZone,
+        shared: &[PromptPart],
+        now: Millis,
+    ) -> Candidate<'a> {
+        let load = self.load.filter(|(_, at)| now.saturating_sub(*at) <= LOAD_FOR);
+        let load = load.map_or(Load::default(), |(load, _)| load);
+        Candidate {
+            id: self.record.id.as_str(),
+            is_near: self.record.zone == *zone,
+            in_flight: self.in_flight,
+            unread: self.unread,
+            running: load.running,
+            waiting: load.waiting,
+            slots: self.record.slots,
+            slowness: self.slowness(now),
+            cached_parts: self.cached_parts(shared, now),
+        }
+    }
+
+    fn note_cached(&mut self, parts: &[PromptPart], now: Millis) {
+        if self.cached.len() + parts.len() > CACHED_MAX {
+            self.cached.retain(|_, at| now.saturating_sub(*at) < CACHED_FOR);
+        }
+        if self.cached.len() + parts.len() <= CACHED_MAX {
+            self.cached.extend(parts.iter().map(|part| (part.id, now)));
+        }
+    }
+}
+
+/// How a send ended, for the target's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answered.
+    Answered,
+    /// It refused for its load.
+    Full,
+    /// No connection could be made.
+    NotReached,
+    /// It broke off, or answered what cannot be used.
+    Failed,
+    /// No answer came to a request that was sent at this time.
+    Silent(Millis),
+    /// The request ended for another reason, such as a caller that left.
+    Abandoned,
+}
+
+/// All targets that may be used.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: AvailabilityZone,
+    options: choose::Options,
+    targets: BTreeMap<TargetId, Target>,
+}
+
+impl Fleet {
+    /// Creates an empty fleet, for an entry in `zone`.
+    pub fn new(zone: AvailabilityZone, options: choose::Options) -> Self {
+        Self {
+            zone,
+            options,
+            targets: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the list of targets. A target that started again keeps nothing of before.
+    pub fn set<'a>(&mut self, records: impl Iterator<Item = &'a Record>, now: Millis) {
+        let mut old = std::mem::take(&mut self.targets);
+        for record in records {
+            let same = old.remove(&record.id).filter(|target| {
+                target.record.born == record.born && target.record.addr == record.addr
+            });
+            let target = match same {
+                Some(mut target) => {
+                    target.record = record.clone();
+                    target
+                }
+                None => Target::new(record.clone(), now),
+            };
+            self.targets.insert(record.id.clone(), target);
+        }
+    }
+
+    /// Returns the number of targets of a service that take requests.
+    pub fn ready(&self, service: &ServiceId) -> usize {
+        let is_ready = |target: &&Target| {
+            target.record.service == *service && target.record.state == TargetState::Ready
+        };
+        self.targets.values().filter(is_ready).count()
+    }
+
+    /// Returns the number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns true if no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Returns a target.
+    pub fn get(&self, id: &TargetId) -> Option<&Target> {
+        self.targets.get(id)
+    }
+
+    /// Chooses a target of `service` outside `tried`. Targets that were taken out of use are only
+    /// chosen when they are due for another try, or when there are no others.
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        prompt: Option<&Prompt>,
+        tried: &[TargetId],
+        now: Millis,
+    ) -> Option<(TargetId, Choice)> {
+        let shared = prompt.map_or(&[][..], Prompt::shared);
+        let usable = |target: &&Target| {
+            target.record.service == *service
+                && target.record.state == TargetState::Ready
+                && !tried.contains(&target.record.id)
+        };
+        let all: Vec<&Target> = self.targets.values().filter(usable).collect();
+        let is_due = |target: &&&Target| target.health.standing(now) == Standing::Probe;
+        let is_open = |target: &&Target| target.health.standing(now) == Standing::Open;
+        let open: Vec<&Target> = all.iter().copied().filter(is_open).collect();
+        if let Some(probe) = all.iter().find(is_due) {
+            let choice = Choice {
+                index: 0,
+                estimate: Millis::ZERO,
+                uncached: prompt.map_or(0, |prompt| prompt.input.get()),
+            };
+            return Some((probe.record.id.clone(), choice));
+        }
+        let pool = if open.is_empty() { all } else { open };
+        let candidates: Vec<Candidate<'_>> = pool
+            .iter()
+            .map(|target| target.candidate(&self.zone, shared, now))
+            .collect();
+        let ask = prompt.map(|prompt| Ask {
+            input: prompt.input.get(),
+            shared,
+        });
+        let choice = choose::choose(&candidates, ask, &self.options)?;
+        Some((pool[choice.index].record.id.clone(), choice))
+    }
+
+    /// Notes that a request is sent to a target.
+    pub fn start(&mut self, id: &TargetId, uncached: u64, now: Millis) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.health.start(now);
+            target.in_flight += 1;
+            target.unread += uncached;
+        }
+    }
+
+    /// Notes that a target has read the prompt of a request `took` after it was sent, where
+    /// `expected` was estimated.
+    pub fn read(
+        &mut self,
+        id: &TargetId,
+        uncached: u64,
+        prompt: Option<&Prompt>,
+        took: Millis,
+        expected: Millis,
+        now: Millis,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.unread = target.unread.saturating_sub(uncached);
+        target.health.alive(now);
+        if let Some(prompt) = prompt {
+            target.note_cached(&prompt.parts, now);
+            /// Fixed part of the time to the first token, so that small prompts do not look slow.
+            const BASE_MS: f64 = 100.0;
+            let ratio = (took.get() as f64 + BASE_MS) / (expected.get() as f64 + 2.0 * BASE_MS);
+            let slowness = target.slowness(now);
+            target.slowness =
+                slowness + (ratio.clamp(0.5, 8.0) - slowness) * SLOWNESS_WEIGHT;
+            target.measured = now;
+        }
+    }
+
+    /// Notes the load that came with an answer.
+    pub fn report(&mut self, id: &TargetId, load: Load, now: Millis) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.load = Some((load, now));
+        }
+    }
+
+    /// Notes the end of a request at a target; `unread` is what it had not read.
+    pub fn end(&mut self, id: &TargetId, unread: u64, verdict: Verdict, now: Millis) -> bool {
+        let Some(target) = self.targets.get_mut(id) else {
+            return false;
+        };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        target.unread = target.unread.saturating_sub(unread);
+        let was_open = target.health.standing(now) == Standing::Open;
+        match verdict {
+            Verdict::Answered => target.health.succeed(now),
+            Verdict::Full | Verdict::Abandoned => {}
+            Verdict::NotReached => {
+                target.health.fail(Failure::NotReached, now);
+                target.health.fail(Failure::NotReached, now);
+            }
+            Verdict::Failed => target.health.fail(Failure::TargetFailed, now),
+            Verdict::Silent(sent) => target.health.fail(Failure::Timeout(sent), now),
+        }
+        was_open && target.health.standing(now) != Standing::Open
+    }
+
+    /// Returns all targets with their standing, for logs.
+    pub fn standings(&self, now: Millis) -> Vec<(SmolStr, Standing)> {
+        let all = self.targets.values();
+        all.map(|target| (target.record.id.as_str().into(), target.health.standing(now)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/proxy.rs
@@ -0,0 +1,374 @@
+//! A caller's request from its head to the head of its answer.
+
+use std::{cell::RefCell, rc::Rc};
+
+use bytes::Bytes;
+use cadence::{CountedExt as _, Timed as _};
+use cyc_types::{ClientAccountId, ErrorKind, Millis, Tokens};
+use http::{Request, Response, StatusCode, request};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::{
+    answer::{Failure, Reply},
+    call::Call,
+    config::{Account, Configuration, Route},
+    port::Wire,
+    share::{Reservation, Short},
+    state::State,
+    stream,
+};
+
+mod attempt;
+
+pub use attempt::{Attempts, Opened};
+
+/// The part of the objective that a request may wait here for tokens, as a divisor: callers are
+/// better served by a quick refusal than by a longer wait.
+const SHARE_WAIT_PART: u64 = 8;
+/// Base of the advice when to come back; a random part of the same length is added so that
+/// refused callers do not return together.
+const RETRY_AFTER: Millis = Millis::new(400);
+/// Advice while no configuration is known: a start takes about a second.
+const RETRY_AFTER_START: Millis = Millis::new(800);
+
+/// Returns advice when to come back, spread over once more the base.
+pub fn retry_after(base: Millis) -> Millis {
+    Millis::new(base.get() + rand::random_range(0..=base.get()))
+}
+
+/// What the log says of one request.
+#[derive(Debug, Default)]
+pub struct Trace {
+    /// The caller's id of the attempt.
+    pub id: SmolStr,
+    /// The route.
+    pub route: SmolStr,
+    /// The account.
+    pub account: SmolStr,
+    /// Revision of the configuration that decided.
+    pub revision: u64,
+    /// The last target that the request was sent to.
+    pub target: SmolStr,
+    /// Targets that the request was sent to.
+    pub sends: u32,
+    /// Estimated time until the target has read the request, in ms.
+    pub estimate: u64,
+    /// Time from the arrival to the first piece of the answer, in ms.
+    pub first: u64,
+}
+
+/// Writes the line of one request that has ended.
+pub fn log_end<W>(
+    state: &State<W>,
+    trace: &Trace,
+    arrived: Millis,
+    status: StatusCode,
+    outcome: &str,
+    detail: &str,
+) {
+    let took = state.now().saturating_sub(arrived);
+    spdlog::info!("request", kv: {
+        id = trace.id.as_str(),
+        route = trace.route.as_str(),
+        account = trace.account.as_str(),
+        revision = trace.revision,
+        target = trace.target.as_str(),
+        sends = trace.sends,
+        estimate_ms = trace.estimate,
+        first_ms = trace.first,
+        took_ms = took.get(),
+        status = status.as_u16(),
+        outcome = outcome,
+        detail = detail,
+    });
+    let name = format!("{}{outcome}", cyc_obs::names::REQUESTS);
+    state.metrics.incr(&name).ok();
+    let name = format!("{}{}", cyc_obs::names::ANSWER, outcome);
+    state.metrics.time(&name, took.get()).ok();
+}
+
+/// A request that passed all checks.
+pub struct Accepted {
+    /// Its head.
+    pub head: request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// What the head says.
+    pub call: Call,
+    /// Its route.
+    pub route: std::sync::Arc<Route>,
+    /// Who pays.
+    pub account: Option<std::sync::Arc<Account>>,
+    /// The configuration that decides about it to its end.
+    pub config: Rc<Configuration>,
+    /// When it came.
+    pub arrived: Millis,
+    /// When it must have an answer.
+    pub limit: Instant,
+}
+
+impl Accepted {
+    /// Returns the urgency that targets are told.
+    pub fn urgency(&self) -> u8 {
+        let of_account = self.account.as_ref().and_then(|account| account.priority);
+        of_account.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the time that is left.
+    pub fn left(&self) -> Millis {
+        let left = self.limit.saturating_duration_since(Instant::now());
+        Millis::new(left.as_millis() as u64)
+    }
+}
+
+/// The tokens of one request; billed for what was used when dropped.
+pub struct Bill<W> {
+    state: Rc<State<W>>,
+    _flight: Flight<W>,
+    reservation: Option<Reservation>,
+    input: Tokens,
+    per_event: u64,
+    /// The request has run, or may have.
+    pub has_run: bool,
+    /// Events delivered.
+    pub events: u64,
+}
+
+impl<W> Drop for Bill<W> {
+    fn drop(&mut self) {
+        let Some(reservation) = &self.reservation else {
+            return;
+        };
+        let used = match self.has_run {
+            true => self.input + Tokens::new(self.events * self.per_event),
+            false => Tokens::ZERO,
+        };
+        let now = self.state.now();
+        let mut wallet = self.state.wallet.borrow_mut();
+        wallet.settle(reservation, used, now);
+        drop(wallet);
+        self.state.wallet_changed.notify_waiters();
+    }
+}
+
+/// Serves one request of a caller.
+pub async fn serve<W: Wire>(state: Rc<State<W>>, req: Request<Incoming>) -> Response<Reply> {
+    let arrived = state.now();
+    let trace = RefCell::new(Trace::default());
+    let _flight = Flight::new(&state);
+    match answer(&state, req, arrived, &trace).await {
+        Ok(response) => response,
+        Err(failure) => {
+            let response = failure.response();
+            let outcome = failure.kind.to_string();
+            log_end(
+                &state,
+                &trace.borrow(),
+                arrived,
+                response.status(),
+                &outcome,
+                &failure.detail,
+            );
+            response
+        }
+    }
+}
+
+/// Counts as in flight until dropped.
+struct Flight<W>(Rc<State<W>>);
+
+impl<W> Flight<W> {
+    fn new(state: &Rc<State<W>>) -> Self {
+        state.in_flight.set(state.in_flight.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl<W> Drop for Flight<W> {
+    fn drop(&mut self) {
+        let count = &self.0.in_flight;
+        count.set(count.get().saturating_sub(1));
+    }
+}
+
+async fn answer<W: Wire>(
+    state: &Rc<State<W>>,
+    req: Request<Incoming>,
+    arrived: Millis,
+    trace: &RefCell<Trace>,
+) -> Result<Response<Reply>, Failure> {
+    let (head, body) = req.into_parts();
+    let accepted = accept(state, head, arrived, trace)?;
+    let accepted = read_body(accepted, body).await?;
+    let bill = reserve(state, &accepted).await?;
+    let mut attempts = Attempts::new(state.clone(), accepted, bill);
+    let opened = attempts.open(None).await;
+    copy_trace(&attempts, trace);
+    let opened = opened?;
+    let mut line = trace.take();
+    let response = stream::respond(attempts, opened, &mut line).await;
+    trace.replace(line);
+    response
+}
+
+fn copy_trace<W: Wire>(attempts: &Attempts<W>, trace: &RefCell<Trace>) {
+    let mut trace = trace.borrow_mut();
+    trace.sends = attempts.sends;
+    trace.estimate = attempts.estimate.get();
+    if let Some(target) = attempts.tried.last() {
+        trace.target = target.as_str().into();
+    }
+}
+
+/// Checks the head: configuration, route, key and the fields that decisions need.
+fn accept<W: Wire>(
+    state: &State<W>,
+    head: request::Parts,
+    arrived: Millis,
+    trace: &RefCell<Trace>,
+) -> Result<Accepted, Failure> {
+    let decoded = state.wire.decode_call(&head);
+    let mut trace = trace.borrow_mut();
+    if let Ok(call) = &decoded {
+        trace.id = call.id.clone();
+    }
+    let config = state.config.borrow().clone().ok_or_else(|| {
+        Failure::new(ErrorKind::NotConfigured, "no configuration was read yet")
+            .with_retry_after(retry_after(RETRY_AFTER_START))
+    })?;
+    trace.revision = config.revision.get();
+    let host = head.headers.get(http::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = config.route(host, head.uri.path());
+    let route = route.map_err(|kind| Failure::new(kind, head.uri.path()))?;
+    trace.route = route.name.clone();
+    let call = decoded.map_err(|bad| {
+        let detail = format!("{}: `{}`", bad.field, bad.value);
+        Failure::new(ErrorKind::BadRequest, detail)
+    })?;
+    let account = config.account(route, call.key.as_deref());
+    let account = account.map_err(|kind| Failure::new(kind, "the API key is not known"))?;
+    if let Some(account) = account {
+        trace.account = account.id.as_str().into();
+    }
+    let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+    Ok(Accepted {
+        route: route.clone(),
+        account: account.cloned(),
+        limit: Instant::now() + patience.duration(),
+        body: Bytes::new(),
+        head,
+        call,
+        config,
+        arrived,
+    })
+}
+
+async fn read_body(mut accepted: Accepted, body: Incoming) -> Result<Accepted, Failure> {
+    let most = accepted.config.limits.body_bytes.get() as usize;
+    let read = Limited::new(body, most).collect();
+    match tokio::time::timeout_at(accepted.limit, read).await {
+        Ok(Ok(body)) => {
+            accepted.body = body.to_bytes();
+            Ok(accepted)
+        }
+        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            let detail = format!("the body is longer than {most} bytes");
+            Err(Failure::new(ErrorKind::TooLarge, detail))
+        }
+        Ok(Err(error)) => Err(Failure::new(ErrorKind::BadRequest, error.to_string())),
+        Err(_) => Err(Failure::new(
+            ErrorKind::DeadlineBeforeStart,
+            "the body did not arrive in time",
+        )),
+    }
+}
+
+/// Reserves the most that the request can cost, waiting shortly for a draw.
+async fn reserve<W>(state: &Rc<State<W>>, accepted: &Accepted) -> Result<Bill<W>, Failure> {
+    let per_event = accepted.route.splits.first().and_then(|split| {
+        let service = accepted.config.service(&split.service)?;
+        Some(u64::from(service.tokens_per_event))
+    });
+    let prompt = accepted.call.prompt.as_ref();
+    let mut bill = Bill {
+        state: state.clone(),
+        _flight: Flight::new(state),
+        reservation: None,
+        input: prompt.map_or(Tokens::ZERO, |prompt| prompt.input),
+        per_event: per_event.unwrap_or(1),
+        has_run: false,
+        events: 0,
+    };
+    let payer = accepted.account.as_ref().zip(prompt);
+    let Some((account, prompt)) = payer.filter(|(account, _)| account.prepaid.is_some()) else {
+        return Ok(bill);
+    };
+    let worst = prompt.worst();
+    let first = state.wallet.borrow_mut().reserve(&account.id, worst);
+    bill.reservation = Some(match first {
+        Ok(reservation) => reservation,
+        Err(Short::Exhausted) => return Err(short(Short::Exhausted, &account.id, worst)),
+        Err(_) => wait_for_tokens(state, accepted, &account.id, worst).await?,
+    });
+    Ok(bill)
+}
+
+/// A request that waits for tokens, counted in the wallet until dropped.
+struct Want<'a, W> {
+    state: &'a State<W>,
+    account: &'a ClientAccountId,
+    worst: Tokens,
+}
+
+impl<W> Drop for Want<'_, W> {
+    fn drop(&mut self) {
+        let mut wallet = self.state.wallet.borrow_mut();
+        wallet.unwant(self.account, self.worst);
+    }
+}
+
+async fn wait_for_tokens<W>(
+    state: &State<W>,
+    accepted: &Accepted,
+    account: &ClientAccountId,
+    worst: Tokens,
+) -> Result<Reservation, Failure> {
+    state.wallet.borrow_mut().want(account, worst);
+    let _want = Want {
+        state,
+        account,
+        worst,
+    };
+    let wait = Millis::new(accepted.route.objective.get() / SHARE_WAIT_PART);
+    let until = (Instant::now() + wait.duration()).min(accepted.limit);
+    loop {
+        let changed = state.wallet_changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        let tried = state.wallet.borrow_mut().reserve(account, worst);
+        let reason = match tried {
+            Ok(reservation) => return Ok(reservation),
+            Err(Short::Exhausted) => return Err(short(Short::Exhausted, account, worst)),
+            Err(reason) => reason,
+        };
+        state.draw_wanted.notify_one();
+        if tokio::time::timeout_at(until, changed).await.is_err() {
+            return Err(short(reason, account, worst));
+        }
+    }
+}
+
+fn short(reason: Short, account: &ClientAccountId, worst: Tokens) -> Failure {
+    let detail = format!("{worst} tokens of {account}: {reason:?}");
+    match reason {
+        Short::Exhausted => Failure::new(ErrorKind::BudgetExhausted, detail),
+        Short::Drawable | Short::Elsewhere | Short::Unknown => {
+            Failure::new(ErrorKind::BudgetUnreachable, detail)
+                .with_retry_after(retry_after(RETRY_AFTER))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -0,0 +1,384 @@
+//! Sends of one request to targets, until one answers or no further send is allowed.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use cyc_types::{ErrorKind, Millis, ServiceId, TargetId};
+use http::{Request, Response, StatusCode, Uri, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::{Accepted, Bill, retry_after};
+use crate::{
+    answer::Failure,
+    choose::Choice,
+    conn::{Conn, Pool},
+    fleet::Verdict,
+    port::{AnswerFacts, Sending, Wire},
+    state::State,
+};
+
+/// Targets that one request tries to reach; a failed connection sends nothing.
+const MAX_CONNECTS: u32 = 4;
+/// Base of the advice when to come back if no target takes the request.
+const RETRY_AFTER_TARGET: Millis = Millis::new(350);
+/// With less than this left, a target could not answer in time.
+const MIN_LEFT: Millis = Millis::new(20);
+
+/// One request at one target. Its end is noted when it is dropped.
+pub struct Run<W> {
+    state: Rc<State<W>>,
+    target: TargetId,
+    /// Prompt tokens that the target has not read.
+    unread: u64,
+    sent: Millis,
+    expected: Millis,
+    verdict: Verdict,
+}
+
+impl<W> Run<W> {
+    fn new(state: Rc<State<W>>, target: TargetId, choice: &Choice) -> Self {
+        let now = state.now();
+        let mut fleet = state.fleet.borrow_mut();
+        fleet.start(&target, choice.uncached, now);
+        drop(fleet);
+        Self {
+            state,
+            target,
+            unread: choice.uncached,
+            sent: now,
+            expected: choice.estimate,
+            verdict: Verdict::Abandoned,
+        }
+    }
+
+    /// Notes that the target has begun to answer.
+    pub fn note_read(&mut self, accepted: &Accepted) {
+        let now = self.state.now();
+        let took = now.saturating_sub(self.sent);
+        let prompt = accepted.call.prompt.as_ref();
+        let mut fleet = self.state.fleet.borrow_mut();
+        fleet.read(&self.target, self.unread, prompt, took, self.expected, now);
+        self.unread = 0;
+    }
+
+    /// Sets how the request ended.
+    pub fn end(mut self, verdict: Verdict) {
+        self.verdict = verdict;
+    }
+
+    /// Returns the verdict on a target from which nothing came.
+    pub fn silent(&self) -> Verdict {
+        Verdict::Silent(self.sent)
+    }
+}
+
+impl<W> Drop for Run<W> {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        let mut fleet = self.state.fleet.borrow_mut();
+        let is_out = fleet.end(&self.target, self.unread, self.verdict, now);
+        drop(fleet);
+        if is_out {
+            let verdict = format!("{:?}", self.verdict);
+            spdlog::warn!("target taken out of use", kv: {
+                target = self.target.as_str(),
+                cause = verdict,
+            });
+        }
+    }
+}
+
+/// An answer whose head was read and belongs to the request.
+pub struct Opened<W> {
+    /// The head.
+    pub head: response::Parts,
+    /// The body, not read yet.
+    pub body: Incoming,
+    /// What the head says.
+    pub facts: AnswerFacts,
+    /// The connection.
+    pub conn: Conn,
+    /// The pool that the connection goes back to.
+    pub pool: Rc<Pool>,
+    /// The request at the target.
+    pub run: Run<W>,
+}
+
+/// How one send ended without an answer.
+enum Missed {
+    /// The target was not reached; nothing was sent.
+    NotSent(String),
+    /// The target has not run the request, and will not.
+    NotRun(String),
+    /// The request may have run.
+    Unknown(String),
+    /// The time was over.
+    Late,
+}
+
+/// The sends of one request.
+pub struct Attempts<W> {
+    /// The entry.
+    pub state: Rc<State<W>>,
+    /// The request.
+    pub accepted: Accepted,
+    /// Its tokens.
+    pub bill: Bill<W>,
+    /// Targets that the request was sent to.
+    pub sends: u32,
+    /// Targets that were tried, reached or not.
+    pub tried: Vec<TargetId>,
+    /// Estimate for the last target.
+    pub estimate: Millis,
+    service: ServiceId,
+    /// A target may have run the request.
+    may_have_run: bool,
+}
+
+impl<W: Wire> Attempts<W> {
+    /// Creates the sends of a request, none made yet.
+    pub fn new(state: Rc<State<W>>, accepted: Accepted, bill: Bill<W>) -> Self {
+        let service = accepted.route.service(rand::random()).clone();
+        Self {
+            state,
+            accepted,
+            bill,
+            sends: 0,
+            tried: Vec::new(),
+            estimate: Millis::ZERO,
+            service,
+            may_have_run: false,
+        }
+    }
+
+    /// Returns true if the request may be sent to one more target after it may have run.
+    pub fn may_repeat(&self) -> bool {
+        self.accepted.route.kind.is_repeatable() && self.sends < self.accepted.route.attempts
+    }
+
+    /// Sends the request until a target answers.
+    ///
+    /// # Errors
+    /// A refusal if no target has run the request, else a failure that promises nothing.
+    pub async fn open(&mut self, resume_after: Option<u64>) -> Result<Opened<W>, Failure> {
+        let mut connects = 0;
+        loop {
+            if self.accepted.left() < MIN_LEFT {
+                return Err(self.late());
+            }
+            let chosen = self.choose();
+            let Some((target, choice)) = chosen else {
+                return Err(self.unserved("no target of the service is left"));
+            };
+            self.estimate = choice.estimate;
+            let missed = match self.send(&target, &choice, resume_after).await {
+                Ok(opened) => return Ok(opened),
+                Err(missed) => missed,
+            };
+            connects += 1;
+            self.log_missed(&target, &missed);
+            let why = match missed {
+                Missed::Late => return Err(self.late()),
+                Missed::NotSent(why) if connects < MAX_CONNECTS => {
+                    drop(why);
+                    continue;
+                }
+                Missed::NotSent(why) => return Err(self.unserved(&why)),
+                Missed::NotRun(why) => why,
+                Missed::Unknown(why) => {
+                    self.may_have_run = true;
+                    self.bill.has_run = true;
+                    if !self.accepted.route.kind.is_repeatable() {
+                        return Err(self.unserved(&why));
+                    }
+                    why
+                }
+            };
+            if self.sends >= self.accepted.route.attempts || !self.take_repeat() {
+                return Err(self.unserved(&why));
+            }
+        }
+    }
+
+    /// Takes one repeat from this entry's part of the shared bound.
+    pub fn take_repeat(&self) -> bool {
+        let now = self.state.now();
+        let entries = self.state.entries();
+        let mut repeats = self.state.repeats.borrow_mut();
+        repeats.take(&self.service, entries, now)
+    }
+
+    fn choose(&self) -> Option<(TargetId, Choice)> {
+        let prompt = self.accepted.call.prompt.as_ref();
+        let fleet = self.state.fleet.borrow();
+        fleet.choose(&self.service, prompt, &self.tried, self.state.now())
+    }
+
+    fn log_missed(&self, target: &TargetId, missed: &Missed) {
+        let (outcome, why) = match missed {
+            Missed::NotSent(why) => ("not_sent", why.as_str()),
+            Missed::NotRun(why) => ("not_run", why.as_str()),
+            Missed::Unknown(why) => ("unknown", why.as_str()),
+            Missed::Late => ("late", ""),
+        };
+        spdlog::info!("send failed", kv: {
+            id = self.accepted.call.id.as_str(),
+            target = target.as_str(),
+            sends = self.sends,
+            estimate_ms = self.estimate.get(),
+            outcome = outcome,
+            why = why,
+        });
+    }
+
+    fn late(&self) -> Failure {
+        if self.may_have_run {
+            return Failure::new(ErrorKind::DeadlineWhileRunning, "the time is over");
+        }
+        Failure::new(ErrorKind::Overloaded, "the time is over before a target was reached")
+            .with_retry_after(retry_after(RETRY_AFTER_TARGET))
+    }
+
+    fn unserved(&self, why: &str) -> Failure {
+        if self.may_have_run {
+            return Failure::new(ErrorKind::OutcomeUnknown, why);
+        }
+        Failure::new(ErrorKind::NoTarget, why).with_retry_after(retry_after(RETRY_AFTER_TARGET))
+    }
+
+    async fn send(
+        &mut self,
+        target: &TargetId,
+        choice: &Choice,
+        resume_after: Option<u64>,
+    ) -> Result<Opened<W>, Missed> {
+        self.tried.push(target.clone());
+        let pool = {
+            let fleet = self.state.fleet.borrow();
+            let known = fleet.get(target).map(|known| known.pool.clone());
+            known.ok_or_else(|| Missed::NotSent("the target has just left".into()))?
+        };
+        let run = Run::new(self.state.clone(), target.clone(), choice);
+        let mut conn = match pool.take_idle() {
+            Some(conn) => conn,
+            None => match pool.connect().await {
+                Ok(conn) => conn,
+                Err(error) => {
+                    run.end(Verdict::NotReached);
+                    return Err(Missed::NotSent(error.to_string()));
+                }
+            },
+        };
+        let req = self.request(target, resume_after);
+        let req = req.map_err(|error| Missed::NotSent(error.to_string()))?;
+        let sent = conn.sender.try_send_request(req);
+        if self.sends == 0 {
+            let mut repeats = self.state.repeats.borrow_mut();
+            repeats.first(&self.service, self.state.now());
+        }
+        self.sends += 1;
+        // From here on the target may run the request, also if the caller leaves.
+        let had_run = std::mem::replace(&mut self.bill.has_run, true);
+        let answer = match tokio::time::timeout_at(self.accepted.limit, sent).await {
+            Err(_) => {
+                self.may_have_run = true;
+                let verdict = run.silent();
+                run.end(verdict);
+                return Err(Missed::Late);
+            }
+            Ok(Err(mut error)) => {
+                let is_unsent = error.take_message().is_some();
+                let why = error.error().to_string();
+                if !is_unsent {
+                    run.end(Verdict::Failed);
+                    return Err(Missed::Unknown(why));
+                }
+                // The target closed an idle connection; it is as good as before.
+                self.bill.has_run = had_run;
+                self.sends -= 1;
+                self.tried.pop();
+                return Err(Missed::NotSent(why));
+            }
+            Ok(Ok(answer)) => answer,
+        };
+        let opened = self.check(answer, conn, pool, run);
+        if let Err(Missed::NotRun(_)) = &opened {
+            self.bill.has_run = had_run;
+        }
+        opened
+    }
+
+    fn request(
+        &self,
+        target: &TargetId,
+        resume_after: Option<u64>,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let accepted = &self.accepted;
+        let sending = Sending {
+            target,
+            left: accepted.left(),
+            account: accepted.account.as_ref().map(|account| &account.id),
+            urgency: accepted.call.prompt.as_ref().map(|_| accepted.urgency()),
+            resume_after,
+        };
+        let headers = self.state.wire.target_headers(&accepted.head.headers, &sending);
+        let path = accepted.head.uri.path_and_query();
+        let path = path.map_or("/", |path| path.as_str());
+        let mut req = Request::builder()
+            .method(accepted.head.method.clone())
+            .uri(path.parse::<Uri>()?)
+            .body(Full::new(accepted.body.clone()))?;
+        *req.headers_mut() = headers;
+        Ok(req)
+    }
+
+    /// Accepts an answer only if it belongs to this request and is the target's own.
+    fn check(
+        &self,
+        answer: Response<Incoming>,
+        conn: Conn,
+        pool: Rc<Pool>,
+        run: Run<W>,
+    ) -> Result<Opened<W>, Missed> {
+        let (head, body) = answer.into_parts();
+        let facts = self.state.wire.decode_answer(&head);
+        if let Some(load) = facts.load {
+            let mut fleet = self.state.fleet.borrow_mut();
+            fleet.report(&run.target, load, self.state.now());
+        }
+        let is_own = facts.id.as_ref() == Some(&self.accepted.call.id);
+        if facts.is_misdirected {
+            run.end(Verdict::NotReached);
+            return Err(Missed::NotRun("the address belongs to another target".into()));
+        }
+        if facts.is_not_run {
+            run.end(Verdict::Full);
+            return Err(Missed::NotRun(format!("refused with {}", head.status)));
+        }
+        let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
+        let needs_signature = head.status.is_success() || is_promise(head.status);
+        if !is_own || is_encoded || (needs_signature && !facts.is_signed) {
+            run.end(Verdict::Failed);
+            let why = format!(
+                "not the answer to this request: {} own={is_own} encoded={is_encoded} signed={}",
+                head.status, facts.is_signed
+            );
+            return Err(Missed::Unknown(why));
+        }
+        Ok(Opened {
+            head,
+            body,
+            facts,
+            conn,
+            pool,
+            run,
+        })
+    }
+}
+
+/// Returns true if the status promises that the request has not run. Only a target that says so
+/// itself may give one.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,152 @@
+//! Listeners: callers, readiness and metrics.
+
+use std::{convert::Infallible, io, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use cyc_types::Millis;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{port::Wire, proxy, state::State};
+
+/// How long after the signal to stop idle connections stay open: the platform needs two missed
+/// questions a second apart to send callers elsewhere.
+pub const LINGER: Millis = Millis::new(2_500);
+/// The largest head that is read before a configuration sets a limit, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+/// The smallest buffer that the HTTP library takes, in bytes.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+/// How long a connection may be idle before a configuration sets a limit.
+const DEFAULT_IDLE: Millis = Millis::new(15_000);
+/// Idle connections are kept this many times longer than callers use them: a close must not meet
+/// a request, also when a newer configuration allows more.
+const IDLE_FACTOR: u64 = 3;
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Millis = Millis::new(20);
+
+/// Opens a listener.
+///
+/// # Errors
+/// The error of the socket.
+pub async fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(addr).await
+}
+
+/// Serves callers until the process ends.
+pub async fn serve_callers<W: Wire>(state: Rc<State<W>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let state = state.clone();
+                tokio::task::spawn_local(serve_caller(state, stream));
+            }
+            Err(error) => {
+                spdlog::warn!("accept failed", kv: { error = error.to_string() });
+                sleep(ACCEPT_PAUSE.duration()).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller<W: Wire>(state: Rc<State<W>>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        spdlog::debug!("connection lost", kv: { error = error.to_string() });
+        return;
+    }
+    let limits = state.config.borrow().as_ref().map(|config| config.limits);
+    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| {
+        limits.header_bytes.get() as usize
+    });
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle);
+    let idle = Millis::new(idle.get() * IDLE_FACTOR);
+    let service = {
+        let state = state.clone();
+        service_fn(move |req: Request<Incoming>| {
+            let state = state.clone();
+            async move {
+                let is_stopping = *state.stopping.borrow();
+                let mut response = proxy::serve(state, req).await;
+                if is_stopping {
+                    let close = http::HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response)
+            }
+        })
+    };
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle.duration())
+        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(conn);
+    let mut stopping = state.stopping.subscribe();
+    let stop = async {
+        // An error means that the process ends.
+        stopping.wait_for(|stopping| *stopping).await.ok();
+        sleep_until(Instant::now() + LINGER.duration()).await;
+    };
+    tokio::pin!(stop);
+    tokio::select! {
+        // An error is a caller that left or sent no HTTP; the request has its own log line.
+        _ = conn.as_mut() => return,
+        () = &mut stop => conn.as_mut().graceful_shutdown(),
+    }
+    conn.await.ok();
+}
+
+/// Answers whether the platform may send callers here: 200 on every path while it may.
+pub async fn serve_ready<W: Wire>(state: Rc<State<W>>, listener: TcpListener) {
+    serve_plain(listener, move |_| {
+        let status = if state.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        (status, Bytes::new())
+    })
+    .await;
+}
+
+/// Serves the metrics as text.
+pub async fn serve_metrics<W: Wire>(state: Rc<State<W>>, listener: TcpListener) {
+    serve_plain(listener, move |_| {
+        (StatusCode::OK, state.metrics.render().into())
+    })
+    .await;
+}
+
+async fn serve_plain(
+    listener: TcpListener,
+    answer: impl Fn(&Request<Incoming>) -> (StatusCode, Bytes) + 'static,
+) {
+    let answer = Rc::new(answer);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE.duration()).await;
+            continue;
+        };
+        let answer = answer.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            let (status, body) = answer(&req);
+            let mut response = Response::new(Full::new(body));
+            *response.status_mut() = status;
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::task::spawn_local(async move {
+            let conn = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE.duration())
+                .serve_connection(TokioIo::new(stream), service);
+            // The asker left; it asks again.
+            conn.await.ok();
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/share.rs
@@ -0,0 +1,412 @@
+//! Prepaid tokens: the record that all entries share, and what this entry holds of it.
+//!
+//! An entry spends only tokens that it has drawn by a conditional write, so no account can use
+//! more than it has paid for, however entries are cut off or stopped. Tokens drawn by an entry
+//! that dies count as used: the size of a draw is what a kill can cost the account.
+
+use std::collections::BTreeMap;
+
+use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
+use serde::{Deserialize, Serialize};
+
+/// The use that an entry keeps drawn ahead: short enough that a kill loses a few seconds of an
+/// account's use, long enough for a short outage of the store.
+pub const COVER: Millis = Millis::new(5_000);
+/// The use that is kept while little is left in the shared record.
+pub const SCARCE_COVER: Millis = Millis::new(1_000);
+/// Less than this part of the prepaid total left in the record counts as scarce.
+const SCARCE_PART: u64 = 12;
+/// The first draw without a measured rate, as a part of the prepaid total.
+const FIRST_PART: u64 = 150;
+/// A surplus below this part of the prepaid total is not worth a write of its own.
+const SURPLUS_PART: u64 = 100;
+/// Time constant of the measured rate of use.
+const RATE_SPAN: Millis = Millis::new(3_000);
+/// An entry whose record has not changed for this long is not counted as running.
+pub const HOLDER_TIMEOUT: Millis = Millis::new(6_000);
+/// Each entry writes at least this often, so that others can count it.
+pub const HEARTBEAT: Millis = Millis::new(2_000);
+/// Records of entries that have not written for this long are removed.
+const HOLDER_PRUNE: Millis = Millis::new(30_000);
+
+/// What one entry last wrote of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Tells apart the starts of the entry.
+    pub start: u64,
+    /// Number of the last write of this start. It only grows.
+    pub writes: u64,
+    /// Drawn tokens that were not used at that write; zero amounts are left out.
+    pub unspent: BTreeMap<ClientAccountId, Tokens>,
+}
+
+/// The record that all entries share.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shares {
+    /// Tokens drawn by all entries, less what they returned. Invariant: at most the prepaid total.
+    pub drawn: BTreeMap<ClientAccountId, Tokens>,
+    /// The entries.
+    pub holders: BTreeMap<VmId, Holder>,
+}
+
+impl Shares {
+    fn drawn(&self, account: &ClientAccountId) -> Tokens {
+        self.drawn.get(account).copied().unwrap_or_default()
+    }
+}
+
+/// Tokens reserved for one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    /// The account.
+    pub account: ClientAccountId,
+    /// The most that the request can cost.
+    pub tokens: Tokens,
+}
+
+/// Why tokens were not reserved.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Short {
+    /// What is left of the account, here and elsewhere, does not cover the request.
+    Exhausted,
+    /// Tokens are left in the record; a draw may bring them.
+    Drawable,
+    /// Tokens are left, but other entries hold them, or they are reserved here.
+    Elsewhere,
+    /// The record has not been read since the account was configured.
+    Unknown,
+}
+
+/// The tokens of one account at this entry.
+#[derive(Debug, Clone, Default)]
+struct Purse {
+    free: Tokens,
+    reserved: Tokens,
+    /// What waiting requests need together.
+    wanted: Tokens,
+    /// Tokens a second, exponentially averaged.
+    rate: f64,
+    rated: Millis,
+}
+
+impl Purse {
+    fn rate(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.rated).get() as f64;
+        self.rate * (-age / RATE_SPAN.get() as f64).exp()
+    }
+
+    fn note_use(&mut self, used: Tokens, now: Millis) {
+        let span_s = RATE_SPAN.get() as f64 / 1_000.0;
+        self.rate = self.rate(now) + used.get() as f64 / span_s;
+        self.rated = now;
+    }
+
+    fn cover(&self, span: Millis, now: Millis) -> Tokens {
+        Tokens::new((self.rate(now) * span.get() as f64 / 1_000.0) as u64)
+    }
+}
+
+/// One account's part of a [`Plan`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// The account.
+    pub account: ClientAccountId,
+    /// Tokens that the write draws.
+    pub drawn: Tokens,
+    /// Tokens that the write returns; they cannot be used from the making of the plan on.
+    pub returned: Tokens,
+}
+
+/// A write of the shared record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// The version that the record must have; `None` if it must not exist.
+    pub base: Option<Version>,
+    /// The record to be written.
+    pub shares: Shares,
+    /// What the write moves.
+    pub moves: Vec<Move>,
+}
+
+/// What this entry holds of the prepaid tokens.
+#[derive(Debug)]
+pub struct Wallet {
+    me: VmId,
+    start: u64,
+    writes: u64,
+    purses: BTreeMap<ClientAccountId, Purse>,
+    prepaid: BTreeMap<ClientAccountId, Tokens>,
+    seen: Option<(Option<Version>, Shares)>,
+    written: Option<Millis>,
+    /// Last change of each entry's record: its start, its writes and when that was seen.
+    changes: BTreeMap<VmId, (u64, u64, Millis)>,
+    /// The write whose outcome is not known. Invariant: no other write starts before it is.
+    pending: Option<Plan>,
+    /// A send of `pending` got no answer, so that it may be made as long as the record has the
+    /// version that it is based on.
+    is_unanswered: bool,
+}
+
+impl Wallet {
+    /// Creates the empty wallet of one start of an entry.
+    pub fn new(me: VmId, start: u64) -> Self {
+        Self {
+            me,
+            start,
+            writes: 0,
+            purses: BTreeMap::new(),
+            prepaid: BTreeMap::new(),
+            seen: None,
+            written: None,
+            changes: BTreeMap::new(),
+            pending: None,
+            is_unanswered: false,
+        }
+    }
+
+    /// Takes the prepaid totals of the configuration in force.
+    pub fn set_prepaid(&mut self, totals: impl IntoIterator<Item = (ClientAccountId, Tokens)>) {
+        self.prepaid = totals.into_iter().collect();
+    }
+
+    /// Returns the number of running entries, with this one.
+    pub fn entries(&self, now: Millis) -> usize {
+        let runs = |(vm, (_, _, at)): (&VmId, &(u64, u64, Millis))| {
+            *vm != self.me && now.saturating_sub(*at) <= HOLDER_TIMEOUT
+        };
+        1 + self.changes.iter().filter(|change| runs(*change)).count()
+    }
+
+    /// Returns free and reserved tokens of an account here.
+    pub fn holding(&self, account: &ClientAccountId) -> (Tokens, Tokens) {
+        let purse = self.purses.get(account);
+        purse.map_or((Tokens::ZERO, Tokens::ZERO), |purse| {
+            (purse.free, purse.reserved)
+        })
+    }
+}
+
+/// Requests.
+impl Wallet {
+    /// Reserves the most that a request can cost.
+    ///
+    /// # Errors
+    /// Why the tokens are not here.
+    pub fn reserve(
+        &mut self,
+        account: &ClientAccountId,
+        worst: Tokens,
+    ) -> Result<Reservation, Short> {
+        let purse = self.purses.entry(account.clone()).or_default();
+        if let Some(rest) = purse.free.checked_sub(worst) {
+            purse.free = rest;
+            purse.reserved += worst;
+            return Ok(Reservation {
+                account: account.clone(),
+                tokens: worst,
+            });
+        }
+        Err(self.shortage(account, worst))
+    }
+
+    /// Ends a reservation of which `used` was used; the rest is free again.
+    pub fn settle(&mut self, reservation: &Reservation, used: Tokens, now: Millis) {
+        let purse = self.purses.entry(reservation.account.clone()).or_default();
+        let used = used.min(reservation.tokens);
+        purse.reserved = purse.reserved.saturating_sub(reservation.tokens);
+        purse.free += reservation.tokens.saturating_sub(used);
+        purse.note_use(used, now);
+    }
+
+    /// Notes that a request waits for `worst` tokens.
+    pub fn want(&mut self, account: &ClientAccountId, worst: Tokens) {
+        self.purses.entry(account.clone()).or_default().wanted += worst;
+    }
+
+    /// Notes that such a request waits no longer.
+    pub fn unwant(&mut self, account: &ClientAccountId, worst: Tokens) {
+        let purse = self.purses.entry(account.clone()).or_default();
+        purse.wanted = purse.wanted.saturating_sub(worst);
+    }
+
+    fn shortage(&self, account: &ClientAccountId, worst: Tokens) -> Short {
+        let (Some((_, shares)), Some(paid)) = (&self.seen, self.prepaid.get(account)) else {
+            return Short::Unknown;
+        };
+        let left = paid.saturating_sub(shares.drawn(account));
+        let (free, reserved) = self.holding(account);
+        if left + free >= worst {
+            return Short::Drawable;
+        }
+        let others = shares.holders.iter().filter(|(vm, _)| **vm != self.me);
+        let unspent = others.filter_map(|(_, holder)| holder.unspent.get(account).copied());
+        let elsewhere: Tokens = unspent.sum();
+        if left + free + reserved + elsewhere >= worst {
+            Short::Elsewhere
+        } else {
+            Short::Exhausted
+        }
+    }
+}
+
+/// Writes of the shared record.
+impl Wallet {
+    /// Takes the record as read, and settles a write of unknown outcome by it.
+    pub fn observe(&mut self, version: Option<Version>, shares: Shares, now: Millis) {
+        for (vm, holder) in &shares.holders {
+            let mark = (holder.start, holder.writes);
+            let known = self.changes.get(vm).map(|known| (known.0, known.1));
+            if known != Some(mark) {
+                self.changes.insert(vm.clone(), (mark.0, mark.1, now));
+            }
+        }
+        if let Some(plan) = &self.pending {
+            let mine = shares.holders.get(&self.me);
+            let landed =
+                mine.is_some_and(|mine| mine.start == self.start && mine.writes == self.writes);
+            if landed {
+                self.finish(true);
+            } else if plan.base != version {
+                self.finish(false);
+            }
+        }
+        self.seen = Some((version, shares));
+    }
+
+    /// Returns true if a write is due, as far as the record is known.
+    pub fn is_due(&self, now: Millis) -> bool {
+        let moves = |(_, shares): &(Option<Version>, Shares)| !self.moves(shares, now).is_empty();
+        self.pending.is_some()
+            || self.is_heartbeat_due(now)
+            || self.purses.values().any(|purse| purse.free < purse.wanted)
+            || self.seen.as_ref().is_none_or(moves)
+    }
+
+    fn is_heartbeat_due(&self, now: Millis) -> bool {
+        let written = self.written;
+        written.is_none_or(|at| now.saturating_sub(at) >= HEARTBEAT)
+    }
+
+    fn moves(&self, shares: &Shares, now: Millis) -> Vec<Move> {
+        let accounts = self.prepaid.keys();
+        accounts
+            .filter_map(|account| self.plan_move(shares, account.clone(), now))
+            .collect()
+    }
+
+    /// Returns the write that is due: the one of unknown outcome again, or a new one.
+    pub fn plan(&mut self, now: Millis) -> Option<Plan> {
+        if let Some(pending) = &self.pending {
+            return Some(pending.clone());
+        }
+        let (base, shares) = self.seen.clone()?;
+        let moves = self.moves(&shares, now);
+        if moves.is_empty() && !self.is_heartbeat_due(now) {
+            return None;
+        }
+        self.writes += 1;
+        let shares = self.next_shares(shares, &moves, now);
+        for step in &moves {
+            let purse = self.purses.entry(step.account.clone()).or_default();
+            purse.free = purse.free.saturating_sub(step.returned);
+        }
+        let plan = Plan {
+            base,
+            shares,
+            moves,
+        };
+        self.pending = Some(plan.clone());
+        Some(plan)
+    }
+
+    /// Notes that the planned write was made and gave the record `version`.
+    pub fn written(&mut self, version: Version, now: Millis) {
+        if let Some(plan) = &self.pending {
+            self.seen = Some((Some(version), plan.shares.clone()));
+        }
+        self.written = Some(now);
+        self.finish(true);
+    }
+
+    /// Notes that a send of the planned write was refused without effect.
+    pub fn refused(&mut self) {
+        if !self.is_unanswered {
+            self.finish(false);
+        }
+    }
+
+    /// Notes that a send of the planned write got no answer: it may be made, now or later.
+    pub fn unanswered(&mut self) {
+        self.is_unanswered = self.pending.is_some();
+    }
+
+    fn finish(&mut self, is_done: bool) {
+        let Some(plan) = self.pending.take() else {
+            return;
+        };
+        self.is_unanswered = false;
+        for step in plan.moves {
+            let purse = self.purses.entry(step.account).or_default();
+            purse.free += if is_done { step.drawn } else { step.returned };
+        }
+    }
+
+    fn plan_move(&self, shares: &Shares, account: ClientAccountId, now: Millis) -> Option<Move> {
+        let paid = *self.prepaid.get(&account)?;
+        let left = paid.saturating_sub(shares.drawn(&account));
+        let purse = self.purses.get(&account).cloned().unwrap_or_default();
+        let is_scarce = left.get() < paid.get() / SCARCE_PART;
+        let first = Tokens::new(paid.get() / FIRST_PART);
+        let keep = match is_scarce {
+            true => purse.cover(SCARCE_COVER, now),
+            false => purse.cover(COVER, now).max(first),
+        };
+        let wanted = purse.wanted + keep;
+        let is_low = purse.free < purse.wanted || purse.free.get() < keep.get() * 3 / 4;
+        if is_low {
+            let fair = Tokens::new(left.get() / (2 * self.entries(now) as u64));
+            let lack = wanted.saturating_sub(purse.free);
+            let need = purse.wanted.saturating_sub(purse.free);
+            let drawn = lack.min(fair).max(need).min(left);
+            return (!drawn.is_zero()).then_some(Move {
+                account,
+                drawn,
+                returned: Tokens::ZERO,
+            });
+        }
+        let surplus = purse.free.saturating_sub(wanted + keep);
+        let is_worth = is_scarce || surplus.get() > paid.get() / SURPLUS_PART;
+        (is_worth && !surplus.is_zero()).then_some(Move {
+            account,
+            drawn: Tokens::ZERO,
+            returned: surplus,
+        })
+    }
+
+    fn next_shares(&self, mut shares: Shares, moves: &[Move], now: Millis) -> Shares {
+        let mut unspent: BTreeMap<ClientAccountId, Tokens> = self
+            .purses
+            .iter()
+            .map(|(account, purse)| (account.clone(), purse.free + purse.reserved))
+            .collect();
+        for step in moves {
+            let drawn = shares.drawn.entry(step.account.clone()).or_default();
+            *drawn = (*drawn + step.drawn).saturating_sub(step.returned);
+            let here = unspent.entry(step.account.clone()).or_default();
+            *here = (*here + step.drawn).saturating_sub(step.returned);
+        }
+        unspent.retain(|_, tokens| !tokens.is_zero());
+        let is_recent = |vm: &VmId| {
+            let change = self.changes.get(vm);
+            change.is_none_or(|(_, _, at)| now.saturating_sub(*at) <= HOLDER_PRUNE)
+        };
+        shares.holders.retain(|vm, _| is_recent(vm));
+        let mine = Holder {
+            start: self.start,
+            writes: self.writes,
+            unspent,
+        };
+        shares.holders.insert(self.me.clone(), mine);
+        shares
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,98 @@
+//! What all requests and controllers of one entry share. An entry runs on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use cyc_obs::Metrics;
+use cyc_types::{Clock, Millis, VmId};
+use tokio::sync::{Notify, watch};
+
+use crate::{
+    choose,
+    config::Configuration,
+    daemon::Settings,
+    fleet::Fleet,
+    member::Members,
+    repeat::Repeats,
+    share::Wallet,
+};
+
+/// The state of one entry.
+pub struct State<W> {
+    /// The protocol of callers and targets.
+    pub wire: W,
+    /// The clock.
+    pub clock: Clock,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// This VM.
+    pub vm: VmId,
+    /// The configuration in force.
+    pub config: RefCell<Option<Rc<Configuration>>>,
+    /// The list of targets.
+    pub members: RefCell<Members>,
+    /// True once the list was read.
+    pub members_known: Cell<bool>,
+    /// What is known of the targets.
+    pub fleet: RefCell<Fleet>,
+    /// Prepaid tokens held here.
+    pub wallet: RefCell<Wallet>,
+    /// Asks for a look at the shared record at once.
+    pub draw_wanted: Notify,
+    /// The wallet has changed.
+    pub wallet_changed: Notify,
+    /// Repeats sent.
+    pub repeats: RefCell<Repeats>,
+    /// True from the signal to stop on.
+    pub stopping: watch::Sender<bool>,
+    /// Requests in flight.
+    pub in_flight: Cell<u32>,
+}
+
+impl<W> State<W> {
+    /// Creates the state of an entry that knows nothing yet.
+    pub fn new(wire: W, settings: &Settings, start: u64, metrics: Metrics) -> Self {
+        Self {
+            wire,
+            clock: Clock::System,
+            metrics,
+            vm: settings.vm.clone(),
+            config: RefCell::new(None),
+            members: RefCell::new(Members::new()),
+            members_known: Cell::new(false),
+            fleet: RefCell::new(Fleet::new(
+                settings.zone.clone(),
+                choose::Options::default(),
+            )),
+            wallet: RefCell::new(Wallet::new(settings.vm.clone(), start)),
+            draw_wanted: Notify::new(),
+            wallet_changed: Notify::new(),
+            repeats: RefCell::new(Repeats::new(settings.repeats)),
+            stopping: watch::Sender::new(false),
+            in_flight: Cell::new(0),
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Returns true if the platform may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.config.borrow().is_some() && self.members_known.get() && !*self.stopping.borrow()
+    }
+
+    /// Returns the number of running entries, with this one.
+    pub fn entries(&self) -> usize {
+        self.wallet.borrow().entries(self.now())
+    }
+
+    /// Hands the list of targets to the fleet after a change.
+    pub fn refresh_fleet(&self) {
+        let members = self.members.borrow();
+        self.fleet.borrow_mut().set(members.records(), self.now());
+    }
+}
--- a/crates/obs/src/daemon.rs
+++ b/crates/obs/src/daemon.rs
@@ -7,7 +7,7 @@
     process::ExitCode,
 };
 
-use cyc_settings::{LogLevel, SettingsError};
+use cyc_settings::LogLevel;
 
 use crate::log::start_logs;
 
@@ -32,9 +32,9 @@
 }
 
 /// Loads the settings as the command line says; `Err` if the process is to end.
-pub fn load_settings<S>(
+pub fn load_settings<S, E: Display>(
     args: &Args,
-    load: impl FnOnce(&Path) -> Result<S, Vec<SettingsError>>,
+    load: impl FnOnce(&Path) -> Result<S, Vec<E>>,
 ) -> Result<S, ExitCode> {
     if args.print_version {
         println!("{} {}", args.program, args.version);
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -4,9 +4,10 @@
 pub mod log;
 pub mod metrics;
 pub mod names;
+pub mod registry;
 pub mod signal;
 
 pub use daemon::{Args, EXIT_FAILED, EXIT_USAGE, load_settings, run_daemon};
-pub use log::start_logs;
+pub use log::{finish_logs, start_logs, start_stdout_logs};
 pub use metrics::Metrics;
 pub use signal::shutdown;
--- a/crates/obs/src/log.rs
+++ b/crates/obs/src/log.rs
@@ -1,12 +1,14 @@
-//! Logs on standard error, one `key=value` line for each record.
+//! Logs, one `key=value` line for each record: on standard error, or on standard output by a
+//! thread of their own that never holds up the process.
 
-use std::{fmt, fmt::Write as _, sync::Arc, time::UNIX_EPOCH};
+use std::{fmt, fmt::Write as _, num::NonZeroUsize, sync::Arc, time::UNIX_EPOCH};
 
 use cyc_settings::LogLevel;
 use spdlog::{
     Level, LevelFilter, Logger, Record, StringBuf,
     formatter::{Formatter, FormatterContext},
-    sink::StdStreamSink,
+    sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink},
+    ThreadPool,
 };
 
 /// Why logs could not be started.
@@ -83,3 +85,48 @@
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
+
+/// Records that wait for the thread that writes them; further ones are dropped.
+const QUEUE: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
+
+/// Makes a logger on standard output the default of the process. A thread of its own writes the
+/// lines; when it falls behind by [`QUEUE`] records, new ones are dropped.
+///
+/// # Errors
+/// [`Error`] if the library refuses the logger.
+pub fn start_stdout_logs(level: LogLevel) -> Result<(), Error> {
+    let stdout = StdStreamSink::builder()
+        .stdout()
+        .formatter(KeyValueFormatter)
+        .build_arc()
+        .map_err(Error)?;
+    let pool = ThreadPool::builder()
+        .capacity(QUEUE)
+        .build_arc()
+        .map_err(Error)?;
+    let sink = AsyncPoolSink::builder()
+        .sink(stdout)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        // A dropped record has nowhere else to go.
+        .error_handler(|_| {})
+        .build_arc()
+        .map_err(Error)?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(filter(level))
+        .error_handler(|_| {})
+        .build()
+        .map_err(Error)?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Writes what waits and ends the logs of the process.
+pub fn finish_logs() {
+    let logger = spdlog::default_logger();
+    logger.flush();
+    if let Ok(empty) = Logger::builder().build() {
+        spdlog::set_default_logger(Arc::new(empty));
+    }
+}
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -11,6 +11,8 @@
 use cadence::{MetricSink, StatsdClient, UdpMetricSink};
 use smol_str::SmolStr;
 
+use crate::registry::Registry;
+
 /// The first part of every metric's name.
 pub const PREFIX: &str = "cyclamenlead";
 
@@ -52,6 +54,7 @@
 pub struct Metrics {
     client: Arc<StatsdClient>,
     counts: Counts,
+    registry: Registry,
 }
 
 impl Metrics {
@@ -68,9 +71,26 @@
         Ok(Self {
             client: Arc::new(client),
             counts,
+            registry: Registry::default(),
         })
     }
 
+    /// Creates a client that keeps sums and histograms in the process, for [`Metrics::render`].
+    pub fn new_registry() -> Self {
+        let registry = Registry::default();
+        let client = StatsdClient::from_sink(PREFIX, registry.clone());
+        Self {
+            client: Arc::new(client),
+            counts: Counts::default(),
+            registry,
+        }
+    }
+
+    /// Returns the metrics as text; empty unless they are kept in the process.
+    pub fn render(&self) -> String {
+        self.registry.render()
+    }
+
     /// Returns the counts; they stay empty while metrics are sent.
     pub fn counts(&self) -> &Counts {
         &self.counts
