During a planned stop take only requests that can end before the process

Ruled out: an earlier close of the listener, since callers would find no entry in a zone whose entries all stop. Change: after the linger, a request whose limit lies beyond the end is refused as draining.

--- a/crates/gateway/src/control/shares.rs
+++ b/crates/gateway/src/control/shares.rs
@@ -24,7 +24,7 @@
 pub async fn keep_shares<W: Wire, S: Store>(state: Rc<State<W>>, store: Rc<S>) {
     let mut pause = Pause::default();
     loop {
-        if *state.stopping.borrow() && state.in_flight.get() == 0 {
+        if state.is_stopping() && state.in_flight.get() == 0 {
             // The stop returns the rest; a draw must not cross it.
             return;
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -4,19 +4,22 @@
 
 use cyc_obs::Metrics;
 use cyc_types::{AvailabilityZone, Millis, VmId};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
     control,
     port::{Store, Wire},
     repeat, serve,
     state::State,
+    stop::{LINGER, Stop},
 };
 
 /// Time between looks at the requests in flight during a stop.
 const STOP_TICK: Millis = Millis::new(20);
 /// The process ends this long before the platform would kill it.
-const STOP_MARGIN: Millis = Millis::new(600);
+const STOP_MARGIN: Millis = Millis::new(700);
+/// How long the return of prepaid tokens may take at the end; part of [`STOP_MARGIN`].
+const RETURN_TIMEOUT: Millis = Millis::new(300);
 
 /// What an entry is told at its start.
 #[derive(Debug, Clone)]
@@ -92,9 +95,13 @@
     tokio::task::spawn_local(serve::serve_ready(state.clone(), ready));
     tokio::task::spawn_local(serve::serve_callers(state.clone(), callers));
     cyc_obs::shutdown().await.map_err(Error::Signals)?;
-    let end = Instant::now() + settings.grace.saturating_sub(STOP_MARGIN).duration();
-    stop(&state, end).await;
-    let returned = timeout_at(end, control::return_shares(&state, &*store)).await;
+    let grace = settings.grace.saturating_sub(STOP_MARGIN);
+    stop(&state, grace).await;
+    let returned = timeout(
+        RETURN_TIMEOUT.duration(),
+        control::return_shares(&state, &*store),
+    )
+    .await;
     spdlog::info!("stopped", kv: {
         in_flight = state.in_flight.get(),
         are_tokens_returned = returned == Ok(true),
@@ -130,16 +137,18 @@
     bound.map_err(|error| Error::Listen(addr, error))
 }
 
-/// Stops taking new callers, and waits for the requests in flight until `end`.
-async fn stop<W: Wire>(state: &State<W>, end: Instant) {
+/// Stops taking new callers, and waits up to `grace` for the requests in flight.
+async fn stop<W: Wire>(state: &State<W>, grace: Millis) {
     spdlog::info!("stopping", kv: { in_flight = state.in_flight.get() });
-    state.stopping.send_replace(true);
-    sleep((serve::LINGER + STOP_TICK).duration()).await;
+    let (since, until) = (state.now(), Instant::now() + grace.duration());
+    let end = since + grace;
+    state.stopping.send_replace(Some(Stop { since, end }));
+    sleep((LINGER + STOP_TICK).duration()).await;
     let idle = async {
         while state.in_flight.get() > 0 {
             sleep(STOP_TICK.duration()).await;
         }
     };
     // What is in flight then ends with the process; the last log line counts it.
-    timeout_at(end, idle).await.ok();
+    timeout_at(until, idle).await.ok();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod serve;
 pub mod share;
 pub mod state;
+pub mod stop;
 pub mod stream;
 
 pub use daemon::{Settings, run};
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -33,6 +33,8 @@
 const RETRY_AFTER: Millis = Millis::new(400);
 /// Base of the advice while the store is away and no tokens can be drawn: outages take seconds.
 const RETRY_AFTER_OUTAGE: Millis = Millis::new(1_500);
+/// Base of the advice while this entry stops: callers reach another one at their next try.
+const RETRY_AFTER_STOP: Millis = Millis::new(50);
 /// Advice while no configuration is known: a start takes about a second.
 const RETRY_AFTER_START: Millis = Millis::new(800);
 
@@ -257,6 +259,12 @@
         trace.account = account.id.as_str().into();
     }
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+    let stop = *state.stopping.borrow();
+    if stop.is_some_and(|stop| !stop.admits(arrived, patience)) {
+        let detail = "this entry stops before the answer could end";
+        return Err(Failure::new(ErrorKind::Draining, detail)
+            .with_retry_after(retry_after(RETRY_AFTER_STOP)));
+    }
     Ok(Accepted {
         route: route.clone(),
         account: account.cloned(),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,11 +13,8 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::{port::Wire, proxy, state::State};
+use crate::{port::Wire, proxy, state::State, stop::LINGER};
 
-/// How long after the signal to stop idle connections stay open: the platform needs two missed
-/// questions a second apart to send callers elsewhere.
-pub const LINGER: Millis = Millis::new(2_500);
 /// The largest head that is read before a configuration sets a limit, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
 /// The smallest buffer that the HTTP library takes, in bytes.
@@ -70,9 +67,8 @@
         service_fn(move |req: Request<Incoming>| {
             let state = state.clone();
             async move {
-                let is_stopping = *state.stopping.borrow();
-                let mut response = proxy::serve(state, req).await;
-                if is_stopping {
+                let mut response = proxy::serve(state.clone(), req).await;
+                if state.is_stopping() {
                     let close = http::HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
@@ -90,7 +86,7 @@
     let mut stopping = state.stopping.subscribe();
     let stop = async {
         // An error means that the process ends.
-        stopping.wait_for(|stopping| *stopping).await.ok();
+        stopping.wait_for(Option::is_some).await.ok();
         sleep_until(Instant::now() + LINGER.duration()).await;
     };
     tokio::pin!(stop);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     choose, config::Configuration, daemon::Settings, fleet::Fleet, member::Members,
-    repeat::Repeats, share::Wallet,
+    repeat::Repeats, share::Wallet, stop::Stop,
 };
 
 /// The state of one entry.
@@ -42,8 +42,8 @@
     pub wallet_changed: Notify,
     /// Repeats sent.
     pub repeats: RefCell<Repeats>,
-    /// True from the signal to stop on.
-    pub stopping: watch::Sender<bool>,
+    /// The planned stop, from its signal on.
+    pub stopping: watch::Sender<Option<Stop>>,
     /// Requests in flight.
     pub in_flight: Cell<u32>,
 }
@@ -68,7 +68,7 @@
             draw_wanted: Notify::new(),
             wallet_changed: Notify::new(),
             repeats: RefCell::new(Repeats::new(settings.repeats)),
-            stopping: watch::Sender::new(false),
+            stopping: watch::Sender::new(None),
             in_flight: Cell::new(0),
         }
     }
@@ -80,7 +80,12 @@
 
     /// Returns true if the platform may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.config.borrow().is_some() && self.members_known.get() && !*self.stopping.borrow()
+        self.config.borrow().is_some() && self.members_known.get() && !self.is_stopping()
+    }
+
+    /// Returns true from the signal to stop on.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.borrow().is_some()
     }
 
     /// Returns the number of running entries, with this one.
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -16,3 +16,5 @@
 mod share;
 #[path = "gateway/share_model.rs"]
 mod share_model;
+#[path = "gateway/stop.rs"]
+mod stop;
