--- a/crates/gateway/src/control/shares.rs
+++ b/crates/gateway/src/control/shares.rs
@@ -8,7 +8,7 @@
 use super::Pause;
 use crate::{
     port::{Store, StoreError, Wire, Written},
-    share::Plan,
+    share::{Plan, Wallet},
     state::State,
 };
 
@@ -84,9 +84,9 @@
         Err(StoreError::Refused(_)) => wallet.refused(),
         Err(_) => wallet.unanswered(),
     }
+    log(&wallet, state.now(), &plan, &written, asked);
     drop(wallet);
     state.wallet_changed.notify_waiters();
-    log(&plan, &written, asked);
     written.map(|written| written != Written::Conflict)
 }
 
@@ -109,7 +109,13 @@
     false
 }
 
-fn log(plan: &Plan, written: &Result<Written, StoreError>, asked: Instant) {
+fn log(
+    wallet: &Wallet,
+    now: Millis,
+    plan: &Plan,
+    written: &Result<Written, StoreError>,
+    asked: Instant,
+) {
     let outcome = match written {
         Ok(Written::Done(_)) => "written".to_string(),
         Ok(Written::Conflict) => "conflict".to_string(),
@@ -118,10 +124,15 @@
     let base = plan.base.map_or(0, |version| version.get());
     let took_ms = asked.elapsed().as_millis() as u64;
     for step in &plan.moves {
+        let total = plan.shares.drawn.get(&step.account);
+        let total = total.copied().unwrap_or_default();
         spdlog::info!("prepaid move", kv: {
             account = step.account.as_str(),
             drawn = step.drawn.get(),
             returned = step.returned.get(),
+            drawn_by_all = total.get(),
+            paid = wallet.prepaid(&step.account).get(),
+            entries = wallet.entries(now),
             base = base,
             took_ms = took_ms,
             outcome = outcome.as_str(),
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -183,6 +183,11 @@
         self.prepaid = totals.into_iter().collect();
     }
 
+    /// Returns the prepaid total of an account.
+    pub fn prepaid(&self, account: &ClientAccountId) -> Tokens {
+        self.prepaid.get(account).copied().unwrap_or_default()
+    }
+
     /// Returns the number of running entries, with this one.
     pub fn entries(&self, now: Millis) -> usize {
         let runs = |(vm, (_, _, at)): (&VmId, &(u64, u64, Millis))| {
