--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -4,7 +4,10 @@
 
 use cyc_obs::Metrics;
 use cyc_types::{AvailabilityZone, Millis, VmId};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, sleep, timeout, timeout_at},
+};
 
 use crate::{
     control,
@@ -77,14 +80,18 @@
     let store = Rc::new(store);
     let callers = bind(settings.callers).await?;
     let ready = bind(settings.ready).await?;
+    let mut metrics_at = String::new();
     if let Some(addr) = settings.metrics {
         let metrics = bind(addr).await?;
+        metrics_at = local(&metrics);
         tokio::task::spawn_local(serve::serve_metrics(state.clone(), metrics));
     }
     spdlog::info!("started", kv: {
         vm = settings.vm.as_str(),
         zone = settings.zone.as_str(),
-        callers = settings.callers.to_string(),
+        callers = local(&callers),
+        ready = local(&ready),
+        metrics = metrics_at,
         start = start,
         version = env!("CARGO_PKG_VERSION"),
     });
@@ -132,11 +139,17 @@
     }
 }
 
-async fn bind(addr: SocketAddr) -> Result<tokio::net::TcpListener, Error> {
+async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
     let bound = serve::bind(addr).await;
     bound.map_err(|error| Error::Listen(addr, error))
 }
 
+/// Returns the address of a listener as text, for the log.
+fn local(listener: &TcpListener) -> String {
+    let addr = listener.local_addr();
+    addr.map_or_else(|error| error.to_string(), |addr| addr.to_string())
+}
+
 /// Stops taking new callers, and waits up to `grace` for the requests in flight.
 async fn stop<W: Wire>(state: &State<W>, grace: Millis) {
     spdlog::info!("stopping", kv: { in_flight = state.in_flight.get() });
