Entries lend each other prepaid tokens while the record cannot serve

Ruled out: other sizes of the shares alone. Change: a request that waits for tokens makes its entry ask up to three others, which debit what they lend first. Tests: unit tests of the wallet, and two processes with the store away.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,10 +1,12 @@
 //! The controllers that keep the entry's state: configuration, list of targets, prepaid tokens.
 
 mod config;
+mod loans;
 mod shares;
 mod targets;
 
 pub use config::follow_configuration;
+pub use loans::{keep_loans, lend};
 pub use shares::{keep_shares, return_shares};
 pub use targets::follow_targets;
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -37,6 +37,8 @@
     pub ready: SocketAddr,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
+    /// Where other entries ask for loans.
+    pub peers: Option<SocketAddr>,
     /// The bound for repeats of all entries together.
     pub repeats: repeat::Options,
     /// Time from the signal to stop to the end of the process by force.
@@ -86,6 +88,14 @@
         metrics_at = local(&metrics);
         tokio::task::spawn_local(serve::serve_metrics(state.clone(), metrics));
     }
+    if let Some(addr) = settings.peers {
+        let peers = bind(addr).await?;
+        if let Ok(addr) = peers.local_addr() {
+            state.wallet.borrow_mut().set_peers(addr);
+        }
+        tokio::task::spawn_local(serve::serve_peers(state.clone(), peers));
+        tokio::task::spawn_local(control::keep_loans(state.clone()));
+    }
     spdlog::info!("started", kv: {
         vm = settings.vm.as_str(),
         zone = settings.zone.as_str(),
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -28,6 +28,8 @@
 /// The part of the objective that a request may wait here for tokens, as a divisor: callers are
 /// better served by a quick refusal than by a longer wait.
 const SHARE_WAIT_PART: u64 = 8;
+/// A draw usually takes less; after it other entries are asked.
+const DRAW_USUAL: Millis = Millis::new(30);
 /// Base of the advice when to come back; a random part of the same length is added so that
 /// refused callers do not return together.
 const RETRY_AFTER: Millis = Millis::new(400);
@@ -318,7 +320,10 @@
         return Ok(bill);
     };
     let worst = prompt.worst();
-    let first = state.wallet.borrow_mut().reserve(&account.id, worst);
+    let first = state
+        .wallet
+        .borrow_mut()
+        .reserve(&account.id, worst, state.now());
     bill.reservation = Some(match first {
         Ok(reservation) => reservation,
         Err(Short::Exhausted) => return Err(short(Short::Exhausted, &account.id, worst, 0)),
@@ -355,19 +360,32 @@
     };
     let wait = Millis::new(accepted.route.objective.get() / SHARE_WAIT_PART);
     let until = (Instant::now() + wait.duration()).min(accepted.limit);
+    let patient = (Instant::now() + DRAW_USUAL.duration()).min(until);
     loop {
         let changed = state.wallet_changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        let tried = state.wallet.borrow_mut().reserve(account, worst);
+        let tried = state
+            .wallet
+            .borrow_mut()
+            .reserve(account, worst, state.now());
         let reason = match tried {
             Ok(reservation) => return Ok(reservation),
             Err(Short::Exhausted) => return Err(short(Short::Exhausted, account, worst, 0)),
             Err(reason) => reason,
         };
         state.draw_wanted.notify_one();
-        if tokio::time::timeout_at(until, changed).await.is_err() {
-            return Err(short(reason, account, worst, state.shares_failures.get()));
+        let failures = state.shares_failures.get();
+        if reason == Short::Elsewhere || failures > 0 || Instant::now() >= patient {
+            state.loan_wanted.notify_one();
+        }
+        let next = if Instant::now() < patient {
+            patient
+        } else {
+            until
+        };
+        if tokio::time::timeout_at(next, changed).await.is_err() && Instant::now() >= until {
+            return Err(short(reason, account, worst, failures));
         }
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,7 +13,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::{port::Wire, proxy, state::State, stop::LINGER};
+use crate::{control, port::Wire, proxy, state::State, stop::LINGER};
 
 /// The largest head that is read before a configuration sets a limit, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
@@ -100,41 +100,47 @@
 
 /// Answers whether the platform may send callers here: 200 on every path while it may.
 pub async fn serve_ready<W: Wire>(state: Rc<State<W>>, listener: TcpListener) {
-    serve_plain(listener, move |_| {
-        let status = if state.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        (status, Bytes::new())
+    serve_plain(listener, async move |_| {
+        let mut response = Response::new(Full::default());
+        if !state.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
     })
     .await;
 }
 
 /// Serves the metrics as text.
 pub async fn serve_metrics<W: Wire>(state: Rc<State<W>>, listener: TcpListener) {
-    serve_plain(listener, move |_| {
-        (StatusCode::OK, state.metrics.render().into())
+    serve_plain(listener, async move |_| {
+        Response::new(Full::new(state.metrics.render().into()))
     })
     .await;
 }
 
+/// Serves other entries.
+pub async fn serve_peers<W: Wire>(state: Rc<State<W>>, listener: TcpListener) {
+    serve_plain(listener, async move |req| control::lend(&state, req).await).await;
+}
+
 async fn serve_plain(
     listener: TcpListener,
-    answer: impl Fn(&Request<Incoming>) -> (StatusCode, Bytes) + 'static,
+    answer: impl AsyncFn(Request<Incoming>) -> Response<Full<Bytes>> + 'static,
 ) {
     let answer = Rc::new(answer);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE.duration()).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                spdlog::warn!("accept failed", kv: { error = error.to_string() });
+                sleep(ACCEPT_PAUSE.duration()).await;
+                continue;
+            }
         };
         let answer = answer.clone();
         let service = service_fn(move |req: Request<Incoming>| {
-            let (status, body) = answer(&req);
-            let mut response = Response::new(Full::new(body));
-            *response.status_mut() = status;
-            async move { Ok::<_, Infallible>(response) }
+            let answer = answer.clone();
+            async move { Ok::<_, Infallible>(answer(req).await) }
         });
         tokio::task::spawn_local(async move {
             let conn = http1::Builder::new()
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -4,10 +4,15 @@
 //! more than it has paid for, however entries are cut off or stopped. Tokens drawn by an entry
 //! that dies count as used: the size of a draw is what a kill can cost the account.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+mod loan;
+
+pub use loan::{LoanReply, LoanRequest};
 
 /// The use that an entry keeps drawn ahead: the store is away for up to 9 s at a time.
 pub const COVER: Millis = Millis::new(10_000);
@@ -36,6 +41,9 @@
     pub start: u64,
     /// Number of the last write of this start. It only grows.
     pub writes: u64,
+    /// Where other entries reach it.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
     /// Drawn tokens that were not used at that write; zero amounts are left out.
     pub unspent: BTreeMap<ClientAccountId, Tokens>,
 }
@@ -43,6 +51,9 @@
 /// The record that all entries share.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shares {
+    /// Drawn at random by the first writer: entries show it to each other.
+    #[serde(default)]
+    pub key: SmolStr,
     /// Tokens drawn by all entries, less what they returned. Invariant: at most the prepaid total.
     pub drawn: BTreeMap<ClientAccountId, Tokens>,
     /// The entries.
@@ -82,8 +93,9 @@
 struct Purse {
     free: Tokens,
     reserved: Tokens,
-    /// What waiting requests need together.
-    wanted: Tokens,
+    /// What each waiting request needs.
+    waiting: Vec<Tokens>,
+    lent: loan::Lent,
     /// Tokens a second, exponentially averaged.
     rate: f64,
     rated: Millis,
@@ -92,6 +104,11 @@
 }
 
 impl Purse {
+    /// Returns what the waiting requests need together.
+    fn wanted(&self) -> Tokens {
+        self.waiting.iter().copied().sum()
+    }
+
     fn rate(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.rated).get() as f64;
         self.rate * (-age / RATE_SPAN.get() as f64).exp()
@@ -143,6 +160,7 @@
 #[derive(Debug)]
 pub struct Wallet {
     me: VmId,
+    peers: Option<SocketAddr>,
     start: u64,
     writes: u64,
     purses: BTreeMap<ClientAccountId, Purse>,
@@ -165,6 +183,7 @@
     pub fn new(me: VmId, start: u64) -> Self {
         Self {
             me,
+            peers: None,
             start,
             writes: 0,
             purses: BTreeMap::new(),
@@ -178,6 +197,11 @@
         }
     }
 
+    /// Sets where other entries reach this one.
+    pub fn set_peers(&mut self, addr: SocketAddr) {
+        self.peers = Some(addr);
+    }
+
     /// Takes the prepaid totals of the configuration in force.
     pub fn set_prepaid(&mut self, totals: impl IntoIterator<Item = (ClientAccountId, Tokens)>) {
         self.prepaid = totals.into_iter().collect();
@@ -215,6 +239,7 @@
         &mut self,
         account: &ClientAccountId,
         worst: Tokens,
+        now: Millis,
     ) -> Result<Reservation, Short> {
         let purse = self.purses.entry(account.clone()).or_default();
         if let Some(rest) = purse.free.checked_sub(worst) {
@@ -225,7 +250,7 @@
                 tokens: worst,
             });
         }
-        Err(self.shortage(account, worst))
+        Err(self.shortage(account, worst, now))
     }
 
     /// Ends a reservation of which `used` was used; the rest is free again.
@@ -240,13 +265,16 @@
 
     /// Notes that a request waits for `worst` tokens.
     pub fn want(&mut self, account: &ClientAccountId, worst: Tokens) {
-        self.purses.entry(account.clone()).or_default().wanted += worst;
+        let purse = self.purses.entry(account.clone()).or_default();
+        purse.waiting.push(worst);
     }
 
     /// Notes that such a request waits no longer.
     pub fn unwant(&mut self, account: &ClientAccountId, worst: Tokens) {
         let purse = self.purses.entry(account.clone()).or_default();
-        purse.wanted = purse.wanted.saturating_sub(worst);
+        if let Some(index) = purse.waiting.iter().position(|waiting| *waiting == worst) {
+            purse.waiting.swap_remove(index);
+        }
     }
 
     /// Returns everything that is not reserved with the next writes; nothing is drawn any more.
@@ -259,7 +287,7 @@
         self.pending.is_none() && self.purses.values().all(|purse| purse.free.is_zero())
     }
 
-    fn shortage(&self, account: &ClientAccountId, worst: Tokens) -> Short {
+    fn shortage(&self, account: &ClientAccountId, worst: Tokens, now: Millis) -> Short {
         let (Some((_, shares)), Some(paid)) = (&self.seen, self.prepaid.get(account)) else {
             return Short::Unknown;
         };
@@ -270,7 +298,9 @@
         }
         let others = shares.holders.iter().filter(|(vm, _)| **vm != self.me);
         let unspent = others.filter_map(|(_, holder)| holder.unspent.get(account).copied());
-        let elsewhere: Tokens = unspent.sum();
+        let lent = self.purses.get(account);
+        let lent = lent.map_or(Tokens::ZERO, |purse| purse.lent.counted(now));
+        let elsewhere = unspent.sum::<Tokens>() + lent;
         if left + free + reserved + elsewhere >= worst {
             Short::Elsewhere
         } else {
@@ -308,7 +338,10 @@
         let moves = |(_, shares): &(Option<Version>, Shares)| !self.moves(shares, now).is_empty();
         self.pending.is_some()
             || self.is_heartbeat_due(now)
-            || self.purses.values().any(|purse| purse.free < purse.wanted)
+            || self
+                .purses
+                .values()
+                .any(|purse| purse.free < purse.wanted())
             || self.seen.as_ref().is_none_or(moves)
     }
 
@@ -386,8 +419,8 @@
         let left = paid.saturating_sub(shares.drawn(&account));
         let purse = self.purses.get(&account).cloned().unwrap_or_default();
         let keep = self.keep(shares, &account, paid, now);
-        let wanted = purse.wanted + keep;
-        let is_low = purse.free < purse.wanted || purse.free.get() < keep.get() * 3 / 4;
+        let wanted = purse.wanted() + keep;
+        let is_low = purse.free < purse.wanted() || purse.free.get() < keep.get() * 3 / 4;
         if is_low && !self.is_closed {
             let lack = wanted.saturating_sub(purse.free);
             let drawn = lack.min(left);
@@ -452,10 +485,14 @@
             let change = self.changes.get(vm);
             change.is_none_or(|(_, _, at)| now.saturating_sub(*at) <= HOLDER_PRUNE)
         };
+        if shares.key.is_empty() {
+            shares.key = format!("{:032x}", rand::random::<u128>()).into();
+        }
         shares.holders.retain(|vm, _| is_recent(vm));
         let mine = Holder {
             start: self.start,
             writes: self.writes,
+            peers: self.peers,
             unspent,
         };
         shares.holders.insert(self.me.clone(), mine);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -38,6 +38,8 @@
     pub shares_failures: Cell<u32>,
     /// Asks for a look at the shared record at once.
     pub draw_wanted: Notify,
+    /// Asks for loans of other entries.
+    pub loan_wanted: Notify,
     /// The wallet has changed.
     pub wallet_changed: Notify,
     /// Repeats sent.
@@ -66,6 +68,7 @@
             wallet: RefCell::new(Wallet::new(settings.vm.clone(), start)),
             shares_failures: Cell::new(0),
             draw_wanted: Notify::new(),
+            loan_wanted: Notify::new(),
             wallet_changed: Notify::new(),
             repeats: RefCell::new(Repeats::new(settings.repeats)),
             stopping: watch::Sender::new(None),
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod event;
 #[path = "gateway/fleet.rs"]
 mod fleet;
+#[path = "gateway/loan.rs"]
+mod loan;
 #[path = "gateway/member.rs"]
 mod member;
 #[path = "gateway/repeat.rs"]
--- a/crates/gateway/tests/gateway/share.rs
+++ b/crates/gateway/tests/gateway/share.rs
@@ -34,11 +34,14 @@
 fn a_request_gets_tokens_only_after_a_draw() {
     let mut wallet = wallet("vm-1", 100_000);
     let mut record = (None, Shares::default());
-    let short = wallet.reserve(&account(), tokens(5_000));
+    let short = wallet.reserve(&account(), tokens(5_000), Millis::ZERO);
     expect_that!(short, err(eq(&Short::Unknown)));
     wallet.want(&account(), tokens(5_000));
     expect_true!(write(&mut wallet, &mut record, Millis::ZERO));
-    expect_that!(wallet.reserve(&account(), tokens(5_000)), ok(anything()));
+    expect_that!(
+        wallet.reserve(&account(), tokens(5_000), Millis::ZERO),
+        ok(anything())
+    );
 }
 
 #[gtest]
@@ -56,7 +59,7 @@
         (100_001, Short::Exhausted),
     ];
     for (worst, expected) in cases {
-        let short = second.reserve(&account(), tokens(worst));
+        let short = second.reserve(&account(), tokens(worst), Millis::ZERO);
         expect_that!(short, err(eq(&expected)), "{worst}");
     }
 }
@@ -72,12 +75,12 @@
         wallet.want(&account(), request);
         write(&mut wallet, &mut record, now);
         wallet.unwant(&account(), request);
-        let reservation = wallet.reserve(&account(), request).unwrap();
+        let reservation = wallet.reserve(&account(), request, Millis::ZERO).unwrap();
         wallet.settle(&reservation, request, now);
         now += Millis::new(100);
     }
     let mut served = 0;
-    while wallet.reserve(&account(), request).is_ok() {
+    while wallet.reserve(&account(), request, Millis::ZERO).is_ok() {
         served += 1;
     }
     // 10 requests a second; the measured rate and a draw at three quarters allow some less.
@@ -99,7 +102,7 @@
             wallet.want(&account(), request);
             write(wallet, &mut record, now);
             wallet.unwant(&account(), request);
-            if let Ok(reservation) = wallet.reserve(&account(), request) {
+            if let Ok(reservation) = wallet.reserve(&account(), request, Millis::ZERO) {
                 wallet.settle(&reservation, request, now);
             }
         }
@@ -121,7 +124,9 @@
     wallet.want(&account(), tokens(50_000));
     write(&mut wallet, &mut record, Millis::ZERO);
     wallet.unwant(&account(), tokens(50_000));
-    let reservation = wallet.reserve(&account(), tokens(10_000)).unwrap();
+    let reservation = wallet
+        .reserve(&account(), tokens(10_000), Millis::ZERO)
+        .unwrap();
     wallet.close();
     expect_true!(write(&mut wallet, &mut record, Millis::new(10)));
     expect_that!(record.1.drawn[&account()], eq(tokens(10_000)));
--- a/crates/gateway/tests/gateway/share_model.rs
+++ b/crates/gateway/tests/gateway/share_model.rs
@@ -85,7 +85,7 @@
 
 fn request(entry: &mut Entry, rng: &mut StdRng, now: Millis) -> u64 {
     let worst = Tokens::new(rng.random_range(100..4_000));
-    if let Ok(reservation) = entry.wallet.reserve(&account(), worst) {
+    if let Ok(reservation) = entry.wallet.reserve(&account(), worst, now) {
         entry.open.push(reservation);
     } else {
         entry.wallet.want(&account(), worst);
