Keep engines of each zone for short prompts; read long ones where little runs

Change: one engine in five of a zone for short prompts; reads of more than two steps are weighed by the streams that they would hold up.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -5,6 +5,10 @@
 //! without talking to each other. A home that is busy loses to another target as soon as waiting
 //! there costs more than reading the shared parts again.
 //!
+//! Lanes: an engine reads a long prompt in steps that also hold up the next token of every stream
+//! beside it. In each availability zone a part of the engines is kept for short prompts, so that
+//! live streams do not run beside long ones, as long as the other lane has room.
+//!
 //! Plain services: the least loaded target, in this availability zone if it can.
 
 use cyc_types::{Millis, hash};
@@ -13,6 +17,54 @@
 
 /// Homes of a common start, in rendezvous order.
 const HOMES: usize = 2;
+/// Prompts from this many tokens on are long: they take more than one step of an engine.
+pub const LONG_TOKENS: u64 = 4_096;
+/// Steps of reading that delay the streams beside them by less than a pause that callers notice.
+const QUIET_STEPS: u64 = 2;
+/// One engine of so many in an availability zone is kept for short prompts.
+const SHORT_LANE_PART: usize = 5;
+/// Key by which all entries rank the engines of a zone alike.
+const LANE_KEY: u64 = 0x6c61_6e65;
+
+/// The prompts that an engine is kept for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Lane {
+    /// All of them.
+    #[default]
+    Any,
+    /// Prompts below [`LONG_TOKENS`].
+    Short,
+    /// The others.
+    Long,
+}
+
+impl Lane {
+    fn fits(self, input: u64) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Short => input < LONG_TOKENS,
+            Self::Long => input >= LONG_TOKENS,
+        }
+    }
+}
+
+/// Returns the lanes of the engines of one availability zone, by their ids. A zone with one
+/// engine has no lanes.
+pub fn lanes(ids: &[&str]) -> Vec<Lane> {
+    let mut lanes = vec![Lane::Long; ids.len()];
+    if ids.len() < 2 {
+        return vec![Lane::Any; ids.len()];
+    }
+    let mut ranked: Vec<usize> = (0..ids.len()).collect();
+    ranked.sort_by_key(|index| hash::rendezvous(LANE_KEY, ids[*index]));
+    for index in ranked
+        .into_iter()
+        .take((ids.len() / SHORT_LANE_PART).max(1))
+    {
+        lanes[index] = Lane::Short;
+    }
+    lanes
+}
 
 /// The weights of the choice.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,6 +78,10 @@
     /// What reading a shared part again costs, relative to reading it: it also delays what runs
     /// beside it, and takes memory from other parts.
     pub reread_factor: f64,
+    /// Delay that the other lane is taken for: what a long prompt costs the streams beside it.
+    pub lane_ms: f64,
+    /// What a step of reading beyond [`QUIET_STEPS`] costs each stream that runs beside it.
+    pub harm_ms: f64,
     /// Delay that a target in another availability zone is taken for; stands for the price of
     /// the bytes too.
     pub zone_ms: f64,
@@ -38,6 +94,8 @@
             running_ms: 2.0,
             waiting_ms: 60.0,
             reread_factor: 2.5,
+            lane_ms: 250.0,
+            harm_ms: 30.0,
             zone_ms: 12.0,
         }
     }
@@ -50,6 +108,8 @@
     pub id: &'a str,
     /// True if it is in this entry's availability zone.
     pub is_near: bool,
+    /// The prompts that it is kept for.
+    pub lane: Lane,
     /// Requests of this entry that it has not answered.
     pub in_flight: u32,
     /// Prompt tokens of this entry's requests that it has not finished reading.
@@ -99,7 +159,7 @@
 }
 
 fn choose_engine(candidates: &[Candidate<'_>], ask: Ask<'_>, options: &Options) -> Option<Choice> {
-    let homes = homes(candidates, ask.shared);
+    let homes = homes(candidates, ask);
     let shared: u64 = ask.shared.iter().map(|part| part.tokens.get()).sum();
     let own = ask.input.saturating_sub(shared);
     let costs = candidates.iter().enumerate().map(|(index, candidate)| {
@@ -107,7 +167,10 @@
         let uncached = uncached_tokens(candidate, rank, ask);
         let again = uncached.saturating_sub(own) as f64 * (options.reread_factor - 1.0);
         let reading = (candidate.unread + uncached) as f64 / options.prompt_tokens_per_ms;
-        let sharing = f64::from(candidate.running.max(candidate.in_flight)) * options.running_ms;
+        let running = f64::from(candidate.running.max(candidate.in_flight));
+        let sharing = running * options.running_ms;
+        let steps = (uncached / LONG_TOKENS).saturating_sub(QUIET_STEPS);
+        let harm = running * steps as f64 * options.harm_ms;
         let queue = f64::from(candidate.waiting) * options.waiting_ms;
         let zone = if candidate.is_near {
             0.0
@@ -116,7 +179,11 @@
         };
         let wait = (reading + sharing + queue) * candidate.slowness.max(0.1);
         let again = again / options.prompt_tokens_per_ms;
-        (wait + again + zone, wait, index, uncached)
+        let lane = match candidate.lane.fits(ask.input) {
+            true => 0.0,
+            false => options.lane_ms,
+        };
+        (wait + again + zone + lane + harm, wait, index, uncached)
     });
     let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(Choice {
@@ -148,12 +215,13 @@
 }
 
 /// Returns the homes of the deepest shared part, in order.
-fn homes(candidates: &[Candidate<'_>], shared: &[PromptPart]) -> Vec<usize> {
-    let Some(subject) = shared.last() else {
+fn homes(candidates: &[Candidate<'_>], ask: Ask<'_>) -> Vec<usize> {
+    let Some(subject) = ask.shared.last() else {
         return Vec::new();
     };
     let weight = |index: &usize| hash::rendezvous(subject.id, candidates[*index].id);
-    let mut ranked: Vec<usize> = (0..candidates.len()).collect();
+    let fits = |index: &usize| candidates[*index].lane.fits(ask.input);
+    let mut ranked: Vec<usize> = (0..candidates.len()).filter(fits).collect();
     ranked.sort_by_key(|index| std::cmp::Reverse(weight(index)));
     ranked.truncate(HOMES);
     ranked
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     call::{Prompt, PromptPart},
-    choose::{self, Ask, Candidate, Choice},
+    choose::{self, Ask, Candidate, Choice, Lane},
     conn::Pool,
     member::{Record, TargetState},
 };
@@ -52,6 +52,7 @@
     pub record: Record,
     /// Connections to it.
     pub pool: Rc<Pool>,
+    lane: Lane,
     health: Health,
     in_flight: u32,
     unread: u64,
@@ -71,6 +72,7 @@
         Self {
             pool: Rc::new(Pool::new(record.addr)),
             record,
+            lane: Lane::Any,
             health: Health::new(options),
             in_flight: 0,
             unread: 0,
@@ -108,6 +110,7 @@
         Candidate {
             id: self.record.id.as_str(),
             is_near: self.record.zone == *zone,
+            lane: self.lane,
             in_flight: self.in_flight,
             unread: self.unread,
             running: load.running,
@@ -180,6 +183,24 @@
             };
             self.targets.insert(record.id.clone(), target);
         }
+        self.assign_lanes();
+    }
+
+    fn assign_lanes(&mut self) {
+        let mut groups: BTreeMap<(ServiceId, AvailabilityZone), Vec<TargetId>> = BTreeMap::new();
+        let ready = self.targets.values().map(|target| &target.record);
+        for record in ready.filter(|record| record.state == TargetState::Ready) {
+            let group = (record.service.clone(), record.zone.clone());
+            groups.entry(group).or_default().push(record.id.clone());
+        }
+        for ids in groups.values() {
+            let names: Vec<&str> = ids.iter().map(TargetId::as_str).collect();
+            for (id, lane) in ids.iter().zip(choose::lanes(&names)) {
+                if let Some(target) = self.targets.get_mut(id) {
+                    target.lane = lane;
+                }
+            }
+        }
     }
 
     /// Returns the number of targets of a service that take requests.
--- a/crates/gateway/tests/gateway/choose.rs
+++ b/crates/gateway/tests/gateway/choose.rs
@@ -2,7 +2,7 @@
 
 use cyc_gateway::{
     call::PromptPart,
-    choose::{Ask, Candidate, Options, choose},
+    choose::{Ask, Candidate, LONG_TOKENS, Lane, Options, choose, lanes},
 };
 use cyc_types::Tokens;
 use googletest::prelude::*;
@@ -11,6 +11,7 @@
     Candidate {
         id,
         is_near: true,
+        lane: Lane::Any,
         in_flight: 0,
         unread: 0,
         running: 0,
@@ -126,3 +127,60 @@
     );
     expect_that!(choose(&[], None, &options), none());
 }
+
+/// Pattern: live chat beside long drafts. Long prompts hold up the tokens of what runs beside
+/// them, so each keeps to its own engines.
+#[gtest]
+fn long_prompts_and_short_ones_keep_to_their_lanes() {
+    let zone = &IDS[..4];
+    let lanes = lanes(zone);
+    let all = zone.iter().zip(&lanes);
+    let candidates: Vec<Candidate<'_>> = all
+        .map(|(id, lane)| Candidate {
+            lane: *lane,
+            ..candidate(id)
+        })
+        .collect();
+    expect_that!(
+        lanes.iter().filter(|lane| **lane == Lane::Short).count(),
+        eq(1)
+    );
+    for subject in 0..50 {
+        for (input, expected) in [(LONG_TOKENS, Lane::Long), (700, Lane::Short)] {
+            let shared = [PromptPart {
+                id: subject,
+                tokens: Tokens::new(170),
+            }];
+            let ask = Ask {
+                input,
+                shared: &shared,
+            };
+            let choice = choose(&candidates, Some(ask), &Options::default()).unwrap();
+            expect_that!(
+                candidates[choice.index].lane,
+                eq(expected),
+                "{subject} {input}"
+            );
+        }
+    }
+}
+
+/// Pattern: only short prompts come, or the lane's engines are gone. The other lane helps out.
+#[gtest]
+fn a_full_lane_spills_into_the_other() {
+    let mut candidates: Vec<Candidate<'_>> = IDS[..4].iter().map(|id| candidate(id)).collect();
+    for (candidate, lane) in candidates.iter_mut().zip(lanes(&IDS[..4])) {
+        candidate.lane = lane;
+        if lane == Lane::Short {
+            candidate.running = 128;
+            candidate.waiting = 4;
+        }
+    }
+    let ask = Ask {
+        input: 700,
+        shared: &[],
+    };
+    let choice = choose(&candidates, Some(ask), &Options::default()).unwrap();
+    expect_that!(candidates[choice.index].lane, eq(Lane::Long));
+    expect_that!(lanes(&IDS[..1]), elements_are![eq(&Lane::Any)]);
+}
