Shares follow the part of an account's use at each entry

Change: each entry writes its rate of use to the record; the part that it may hold follows that. Test: an entry that serves an account alone (fails before the change).

--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -19,6 +19,8 @@
 /// All entries together keep at most this part of what an account has left, in percent, so that
 /// a request finds tokens at any entry and a kill of all entries leaves some.
 const HELD_PERCENT: u64 = 50;
+/// The smallest part of an account that an entry may hold, relative to an even part.
+const MIN_PART: f64 = 0.25;
 /// The largest request of the last while is remembered for this long.
 const LARGEST_FOR: Millis = Millis::new(20_000);
 /// The first draw without a measured rate, as a part of the prepaid total.
@@ -46,6 +48,9 @@
     pub peers: Option<SocketAddr>,
     /// Drawn tokens that were not used at that write; zero amounts are left out.
     pub unspent: BTreeMap<ClientAccountId, Tokens>,
+    /// Tokens that it used in a second, by its own measure at that write; zeros are left out.
+    #[serde(default)]
+    pub rates: BTreeMap<ClientAccountId, Tokens>,
 }
 
 /// The record that all entries share.
@@ -461,11 +466,29 @@
         let (free, reserved) = self.holding(account);
         let left = paid.saturating_sub(shares.drawn(account));
         let total: Tokens = unspent.sum::<Tokens>() + free + reserved + left;
-        let fair = total.get() * HELD_PERCENT / 100 / self.entries(now) as u64;
-        let first = Tokens::new(paid.get() / FIRST_PART);
+        let held = total.get() * HELD_PERCENT / 100;
         let purse = self.purses.get(account);
+        let rate = purse.map_or(0.0, |purse| purse.rate(now));
+        let fair = held as f64 * self.part(shares, account, rate, now);
+        let first = Tokens::new(paid.get() / FIRST_PART);
         let cover = purse.map_or(Tokens::ZERO, |purse| purse.cover(now));
-        cover.max(first).min(Tokens::new(fair))
+        cover.max(first).min(Tokens::new(fair as u64))
+    }
+
+    /// Returns this entry's part of an account's use, at least [`MIN_PART`] of an even part:
+    /// callers of one account mostly stay with one entry.
+    fn part(&self, shares: &Shares, account: &ClientAccountId, rate: f64, now: Millis) -> f64 {
+        let others = shares.holders.iter().filter(|(vm, _)| **vm != self.me);
+        let running = others.filter(|(vm, _)| {
+            let change = self.changes.get(*vm);
+            change.is_some_and(|change| now.saturating_sub(change.2) <= HOLDER_PRUNE)
+        });
+        let rates = running.filter_map(|(_, holder)| holder.rates.get(account));
+        let elsewhere: Tokens = rates.copied().sum();
+        let all = rate + elsewhere.get() as f64;
+        let even = 1.0 / self.entries(now) as f64;
+        let own = if all > 0.0 { rate / all } else { even };
+        own.max(even * MIN_PART)
     }
 
     fn next_shares(&self, mut shares: Shares, moves: &[Move], now: Millis) -> Shares {
@@ -489,11 +512,16 @@
             shares.key = format!("{:032x}", rand::random::<u128>()).into();
         }
         shares.holders.retain(|vm, _| is_recent(vm));
+        let rates = self.purses.iter().filter_map(|(account, purse)| {
+            let rate = Tokens::new(purse.rate(now) as u64);
+            (!rate.is_zero()).then(|| (account.clone(), rate))
+        });
         let mine = Holder {
             start: self.start,
             writes: self.writes,
             peers: self.peers,
             unspent,
+            rates: rates.collect(),
         };
         shares.holders.insert(self.me.clone(), mine);
         shares
--- a/crates/gateway/tests/gateway/share.rs
+++ b/crates/gateway/tests/gateway/share.rs
@@ -150,3 +150,31 @@
     let later = HEARTBEAT + HOLDER_TIMEOUT + Millis::new(1);
     expect_that!(second.entries(later), eq(1));
 }
+
+/// Pattern: all callers of the largest account come to one of three entries, and the store goes
+/// away. That entry has to hold what the account uses, not a third of it.
+#[gtest]
+fn an_entry_that_serves_an_account_alone_keeps_its_whole_cover() {
+    let paid = 1_500_000;
+    let mut record = (None, Shares::default());
+    let mut wallets: Vec<Wallet> = (0..3).map(|i| wallet(&format!("vm-{i}"), paid)).collect();
+    let request = tokens(5_000);
+    let mut now = Millis::ZERO;
+    for _ in 0..60 {
+        for (index, wallet) in wallets.iter_mut().enumerate() {
+            if index > 0 {
+                write(wallet, &mut record, now);
+                continue;
+            }
+            wallet.want(&account(), request);
+            write(wallet, &mut record, now);
+            wallet.unwant(&account(), request);
+            let reservation = wallet.reserve(&account(), request, now).unwrap();
+            wallet.settle(&reservation, request, now);
+        }
+        now += Millis::new(100);
+    }
+    // 50,000 tokens a second; the measured rate and a draw at three quarters allow some less.
+    let held = wallets[0].holding(&account()).0.get();
+    expect_that!(held, ge(50_000 * COVER.get() / 1_000 * 6 / 10));
+}
