--- a/crates/gateway/src/control/loans.rs
+++ b/crates/gateway/src/control/loans.rs
@@ -8,7 +8,10 @@
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    task::yield_now,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::{
     conn::Pool,
@@ -22,7 +25,7 @@
 /// An entry that did not answer is not asked again for this long.
 const SILENT_FOR: Millis = Millis::new(1_000);
 /// Entries asked for one loan.
-const MAX_ASKED: usize = 3;
+const MAX_ASKED: usize = 4;
 /// The shortest time between two rounds, so that a burst of requests shares one.
 const GAP: Millis = Millis::new(15);
 /// The longest message, in bytes.
@@ -50,6 +53,7 @@
 }
 
 async fn borrow<W>(state: &State<W>, peers: &RefCell<Peers>, request: &LoanRequest) {
+    let mut request = request.clone();
     let lenders = state.wallet.borrow().lenders(&request.account, state.now());
     let is_silent = |addr: &SocketAddr| {
         let until = peers.borrow().silent.get(addr).copied();
@@ -63,7 +67,7 @@
             .entry(addr)
             .or_insert_with(|| Rc::new(Pool::new(addr)))
             .clone();
-        let reply = timeout(LOAN_TIMEOUT.duration(), ask(&pool, request)).await;
+        let reply = timeout(LOAN_TIMEOUT.duration(), ask(&pool, &request)).await;
         let reply = reply.unwrap_or_else(|_| Err("timeout".into()));
         let outcome = match &reply {
             Ok(reply) if reply.tokens.is_zero() => "none".to_string(),
@@ -87,7 +91,13 @@
                     .borrow_mut()
                     .borrow(&request.account, reply.tokens);
                 state.wallet_changed.notify_waiters();
-                return;
+                // The requests that the loan serves take their tokens first.
+                yield_now().await;
+                let rest = state.wallet.borrow().rest_of(&request, state.now());
+                match rest {
+                    Some(rest) => request = rest,
+                    None => return,
+                }
             }
             Err(_) => {
                 let until = Instant::now() + SILENT_FOR.duration();
--- a/crates/gateway/src/share/loan.rs
+++ b/crates/gateway/src/share/loan.rs
@@ -13,6 +13,8 @@
 
 /// A loan covers this much further use at the borrower, so that later requests need not ask again.
 const LOAN_COVER: Millis = Millis::new(2_000);
+/// A loan below this part of the least that helps is not worth a message.
+const WORTH_PART: u64 = 8;
 /// How long a loan is counted as held elsewhere: until the borrower has written its record.
 const LENT_FOR: Millis = Millis::new(10_000);
 
@@ -99,8 +101,9 @@
         known.into_iter().map(|(_, addr)| addr).collect()
     }
 
-    /// Debits a loan and returns it; nothing if the least that helps would take more than half
-    /// of what is free here and leave less than one large request.
+    /// Debits a loan and returns it: up to half of what is free here, or, where that does not
+    /// help, all that no request here waits for. A part of the least that helps is lent too, as
+    /// long as it is worth a message: the borrower asks several entries.
     pub fn lend(&mut self, request: &LoanRequest, now: Millis) -> Tokens {
         let is_known = self
             .seen
@@ -110,14 +113,15 @@
             return Tokens::ZERO;
         };
         let half = Tokens::new(purse.free.get() / 2);
-        let spare = purse.free.saturating_sub(purse.wanted() + purse.largest.0);
+        let spare = purse.free.saturating_sub(purse.wanted());
         let given = if half >= request.least {
             request.want.min(half)
-        } else if spare >= request.least {
-            request.least
         } else {
-            return Tokens::ZERO;
+            request.least.min(spare)
         };
+        if given.get() < request.least.get() / WORTH_PART {
+            return Tokens::ZERO;
+        }
         purse.free = purse.free.saturating_sub(given);
         purse.lent.add(given, now);
         given
@@ -127,4 +131,12 @@
     pub fn borrow(&mut self, account: &ClientAccountId, tokens: Tokens) {
         self.purses.entry(account.clone()).or_default().free += tokens;
     }
+
+    /// Returns what a loan still has to bring after tokens came, if anything.
+    pub fn rest_of(&self, request: &LoanRequest, now: Millis) -> Option<LoanRequest> {
+        let requests = self.loan_requests(now);
+        requests
+            .into_iter()
+            .find(|rest| rest.account == request.account)
+    }
 }
