--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -34,7 +34,7 @@
     }
 
     /// Notes a failure and returns how long to wait.
-    pub fn next(&mut self) -> Millis {
+    pub fn grow(&mut self) -> Millis {
         let base = PAUSE_MIN.get() << self.failures.min(8);
         self.failures += 1;
         let base = base.min(PAUSE_MAX.get());
--- a/crates/gateway/src/control/config.rs
+++ b/crates/gateway/src/control/config.rs
@@ -47,7 +47,7 @@
 }
 
 fn lost(pause: &mut Pause, error: &StoreError) -> Millis {
-    let wait = pause.next();
+    let wait = pause.grow();
     spdlog::warn!("configuration cannot be read", kv: {
         error = error.to_string(),
         again_ms = wait.get(),
--- a/crates/gateway/src/control/shares.rs
+++ b/crates/gateway/src/control/shares.rs
@@ -46,7 +46,7 @@
                 }
             }
             Err(error) => {
-                let wait = pause.next();
+                let wait = pause.grow();
                 state.shares_failures.set(state.shares_failures.get() + 1);
                 spdlog::warn!("prepaid record cannot be reached", kv: {
                     error = error.to_string(),
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -66,7 +66,7 @@
                 if error == StoreError::HistoryGone {
                     since = None;
                 }
-                let wait = pause.next();
+                let wait = pause.grow();
                 spdlog::warn!("targets cannot be read", kv: {
                     error = error.to_string(),
                     again_ms = wait.get(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -29,6 +29,8 @@
 const CACHED_MAX: usize = 4_096;
 /// A report of load older than this says nothing.
 const LOAD_FOR: Millis = Millis::new(1_500);
+/// Fixed part of the time to the first token, so that small prompts do not look slow.
+const BASE_MS: f64 = 100.0;
 /// Weight of a new measurement of slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Slowness returns halfway to 1 in this time without measurements.
@@ -132,6 +134,19 @@
     }
 }
 
+/// A prompt that a target has read.
+#[derive(Debug, Clone, Copy)]
+pub struct Read<'a> {
+    /// The tokens that it had to read.
+    pub uncached: u64,
+    /// The prompt; `None` for plain calls.
+    pub prompt: Option<&'a Prompt>,
+    /// Time from the request to the answer's begin.
+    pub took: Millis,
+    /// The estimate of that time.
+    pub expected: Millis,
+}
+
 /// How a send ended, for the target's health.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -275,27 +290,17 @@
         }
     }
 
-    /// Notes that a target has read the prompt of a request `took` after it was sent, where
-    /// `expected` was estimated.
-    pub fn read(
-        &mut self,
-        id: &TargetId,
-        uncached: u64,
-        prompt: Option<&Prompt>,
-        took: Millis,
-        expected: Millis,
-        now: Millis,
-    ) {
+    /// Notes that a target has read a prompt and begins to answer.
+    pub fn read(&mut self, id: &TargetId, read: &Read<'_>, now: Millis) {
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        target.unread = target.unread.saturating_sub(uncached);
+        target.unread = target.unread.saturating_sub(read.uncached);
         target.health.alive(now);
-        if let Some(prompt) = prompt {
+        if let Some(prompt) = read.prompt {
             target.note_cached(&prompt.parts, now);
-            /// Fixed part of the time to the first token, so that small prompts do not look slow.
-            const BASE_MS: f64 = 100.0;
-            let ratio = (took.get() as f64 + BASE_MS) / (expected.get() as f64 + 2.0 * BASE_MS);
+            let ratio =
+                (read.took.get() as f64 + BASE_MS) / (read.expected.get() as f64 + 2.0 * BASE_MS);
             let slowness = target.slowness(now);
             target.slowness = slowness + (ratio.clamp(0.5, 8.0) - slowness) * SLOWNESS_WEIGHT;
             target.measured = now;
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -13,7 +13,7 @@
     answer::Failure,
     choose::Choice,
     conn::{Conn, Pool},
-    fleet::Verdict,
+    fleet::{Read, Verdict},
     port::{AnswerFacts, Sending, Wire},
     state::State,
 };
@@ -55,10 +55,13 @@
     /// Notes that the target has begun to answer.
     pub fn note_read(&mut self, accepted: &Accepted) {
         let now = self.state.now();
-        let took = now.saturating_sub(self.sent);
-        let prompt = accepted.call.prompt.as_ref();
-        let mut fleet = self.state.fleet.borrow_mut();
-        fleet.read(&self.target, self.unread, prompt, took, self.expected, now);
+        let read = Read {
+            uncached: self.unread,
+            prompt: accepted.call.prompt.as_ref(),
+            took: now.saturating_sub(self.sent),
+            expected: self.expected,
+        };
+        self.state.fleet.borrow_mut().read(&self.target, &read, now);
         self.unread = 0;
     }
 
--- a/crates/obs/src/log.rs
+++ b/crates/obs/src/log.rs
@@ -89,7 +89,7 @@
 const QUEUE: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
 
 /// Makes a logger on standard output the default of the process. A thread of its own writes the
-/// lines; when it falls behind by [`QUEUE`] records, new ones are dropped.
+/// lines; when it falls behind by a thousand records, new ones are dropped.
 ///
 /// # Errors
 /// [`Error`] if the library refuses the logger.
