--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -73,6 +73,9 @@
     pub prompt_tokens_per_ms: f64,
     /// Delay by each request that the target is known to run.
     pub running_ms: f64,
+    /// Delay at a target that only reads prompts; grows with the square of that part of its time,
+    /// since what runs there slows down the more, the less time is left.
+    pub reading_ms: f64,
     /// Delay by each request that waits at the target.
     pub waiting_ms: f64,
     /// What reading a shared part again costs, relative to reading it: it also delays what runs
@@ -92,6 +95,7 @@
         Self {
             prompt_tokens_per_ms: 30.0,
             running_ms: 2.0,
+            reading_ms: 600.0,
             waiting_ms: 60.0,
             reread_factor: 2.5,
             lane_ms: 250.0,
@@ -120,6 +124,9 @@
     pub waiting: u32,
     /// Requests that it runs at a time.
     pub slots: u32,
+    /// The part of its time that it spends on reading prompts, estimated from this entry's own
+    /// requests and the number of entries. The tokens of all streams there wait meanwhile.
+    pub reading_part: f64,
     /// Measured time of its answers over the expected one.
     pub slowness: f64,
     /// Leading shared parts of the prompt that this entry knows to be cached there.
@@ -177,13 +184,19 @@
         } else {
             options.zone_ms
         };
+        let busy = candidate.reading_part.powi(2) * options.reading_ms;
         let wait = (reading + sharing + queue) * candidate.slowness.max(0.1);
         let again = again / options.prompt_tokens_per_ms;
         let lane = match candidate.lane.fits(ask.input) {
             true => 0.0,
             false => options.lane_ms,
         };
-        (wait + again + zone + lane + harm, wait, index, uncached)
+        (
+            wait + again + zone + lane + harm + busy,
+            wait,
+            index,
+            uncached,
+        )
     });
     let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(Choice {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -31,6 +31,8 @@
 const LOAD_FOR: Millis = Millis::new(1_500);
 /// Fixed part of the time to the first token, so that small prompts do not look slow.
 const BASE_MS: f64 = 100.0;
+/// Time constant of the measured rate of reading.
+const READ_SPAN: Millis = Millis::new(2_000);
 /// Weight of a new measurement of slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Slowness returns halfway to 1 in this time without measurements.
@@ -58,6 +60,9 @@
     health: Health,
     in_flight: u32,
     unread: u64,
+    /// Prompt tokens a second that this entry's requests make it read, exponentially averaged.
+    read_rate: f64,
+    rated: Millis,
     load: Option<(Load, Millis)>,
     slowness: f64,
     measured: Millis,
@@ -78,6 +83,8 @@
             health: Health::new(options),
             in_flight: 0,
             unread: 0,
+            read_rate: 0.0,
+            rated: now,
             load: None,
             slowness: 1.0,
             measured: now,
@@ -85,6 +92,17 @@
         }
     }
 
+    fn read_rate(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.rated).get() as f64;
+        self.read_rate * (-age / READ_SPAN.get() as f64).exp()
+    }
+
+    fn note_sent(&mut self, uncached: u64, now: Millis) {
+        let span_s = READ_SPAN.get() as f64 / 1_000.0;
+        self.read_rate = self.read_rate(now) + uncached as f64 / span_s;
+        self.rated = now;
+    }
+
     fn slowness(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.measured).get() as f64;
         let kept = 0.5_f64.powf(age / SLOWNESS_HALF.get() as f64);
@@ -99,25 +117,23 @@
         shared.iter().take_while(is_cached).count()
     }
 
-    fn candidate<'a>(
-        &'a self,
-        zone: &AvailabilityZone,
-        shared: &[PromptPart],
-        now: Millis,
-    ) -> Candidate<'a> {
+    fn candidate<'a>(&'a self, fleet: &Fleet, shared: &[PromptPart], now: Millis) -> Candidate<'a> {
+        let read_by_all = self.read_rate(now) * fleet.entries as f64;
+        let capacity = fleet.options.prompt_tokens_per_ms * 1_000.0;
         let load = self
             .load
             .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_FOR);
         let load = load.map_or(Load::default(), |(load, _)| load);
         Candidate {
             id: self.record.id.as_str(),
-            is_near: self.record.zone == *zone,
+            is_near: self.record.zone == fleet.zone,
             lane: self.lane,
             in_flight: self.in_flight,
             unread: self.unread,
             running: load.running,
             waiting: load.waiting,
             slots: self.record.slots,
+            reading_part: (read_by_all / capacity).min(1.0),
             slowness: self.slowness(now),
             cached_parts: self.cached_parts(shared, now),
         }
@@ -169,6 +185,8 @@
 pub struct Fleet {
     zone: AvailabilityZone,
     options: choose::Options,
+    /// Running entries, which are taken to send alike. Invariant: at least 1.
+    entries: usize,
     targets: BTreeMap<TargetId, Target>,
 }
 
@@ -178,6 +196,7 @@
         Self {
             zone,
             options,
+            entries: 1,
             targets: BTreeMap::new(),
         }
     }
@@ -218,6 +237,11 @@
         }
     }
 
+    /// Sets the number of running entries.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1);
+    }
+
     /// Returns the number of targets of a service that take requests.
     pub fn ready(&self, service: &ServiceId) -> usize {
         let is_ready = |target: &&Target| {
@@ -271,7 +295,7 @@
         let pool = if open.is_empty() { all } else { open };
         let candidates: Vec<Candidate<'_>> = pool
             .iter()
-            .map(|target| target.candidate(&self.zone, shared, now))
+            .map(|target| target.candidate(self, shared, now))
             .collect();
         let ask = prompt.map(|prompt| Ask {
             input: prompt.input.get(),
@@ -287,6 +311,7 @@
             target.health.start(now);
             target.in_flight += 1;
             target.unread += uncached;
+            target.note_sent(uncached, now);
         }
     }
 
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -141,12 +141,22 @@
     input: Tokens,
     per_event: u64,
     /// The request has run, or may have.
-    pub has_run: bool,
+    has_run: bool,
     /// Events delivered.
     pub events: u64,
 }
 
 impl<W> Bill<W> {
+    /// Sets whether the request runs or has run, and returns what was set before.
+    pub fn set_run(&mut self, has_run: bool) -> bool {
+        let before = std::mem::replace(&mut self.has_run, has_run);
+        if let Some(reservation) = self.reservation.as_ref().filter(|_| before != has_run) {
+            let mut wallet = self.state.wallet.borrow_mut();
+            wallet.set_running(reservation, self.input, has_run);
+        }
+        before
+    }
+
     /// Returns what the request has used so far, at most what was reserved.
     pub fn used(&self) -> Tokens {
         let reserved = self
@@ -163,10 +173,11 @@
 
 impl<W> Drop for Bill<W> {
     fn drop(&mut self) {
+        let used = self.used();
+        self.set_run(false);
         let Some(reservation) = &self.reservation else {
             return;
         };
-        let used = self.used();
         let now = self.state.now();
         let mut wallet = self.state.wallet.borrow_mut();
         wallet.settle(reservation, used, now);
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -191,7 +191,7 @@
                 Missed::NotRun(why) => why,
                 Missed::Unknown(why) => {
                     self.may_have_run = true;
-                    self.bill.has_run = true;
+                    self.bill.set_run(true);
                     if !self.accepted.route.kind.is_repeatable() {
                         return Err(self.unserved(&why));
                     }
@@ -214,7 +214,9 @@
 
     fn choose(&self) -> Option<(TargetId, Choice)> {
         let prompt = self.accepted.call.prompt.as_ref();
-        let fleet = self.state.fleet.borrow();
+        let entries = self.state.entries();
+        let mut fleet = self.state.fleet.borrow_mut();
+        fleet.set_entries(entries);
         fleet.choose(&self.service, prompt, &self.tried, self.state.now())
     }
 
@@ -285,7 +287,7 @@
         }
         self.sends += 1;
         // From here on the target may run the request, also if the caller leaves.
-        let had_run = std::mem::replace(&mut self.bill.has_run, true);
+        let had_run = self.bill.set_run(true);
         let answer = match tokio::time::timeout_at(self.accepted.limit, sent).await {
             Err(_) => {
                 self.may_have_run = true;
@@ -301,7 +303,7 @@
                     return Err(Missed::Unknown(why));
                 }
                 // The target closed an idle connection; it is as good as before.
-                self.bill.has_run = had_run;
+                self.bill.set_run(had_run);
                 self.sends -= 1;
                 self.tried.pop();
                 return Err(Missed::NotSent(why));
@@ -310,7 +312,7 @@
         };
         let opened = self.check(answer, conn, pool, run);
         if let Err(Missed::NotRun(_)) = &opened {
-            self.bill.has_run = had_run;
+            self.bill.set_run(had_run);
         }
         opened
     }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -18,7 +18,11 @@
 pub const COVER: Millis = Millis::new(10_000);
 /// All entries together keep at most this part of what an account has left, in percent, so that
 /// a request finds tokens at any entry and a kill of all entries leaves some.
-const HELD_PERCENT: u64 = 20;
+const HELD_PERCENT: u64 = 15;
+/// What an account may lose by kills before entries hold less of it, in percent of what it paid.
+const LOSS_PERCENT: u64 = 12;
+/// After that all entries together hold this part of what is left, in percent.
+const CAREFUL_PERCENT: u64 = 3;
 /// The smallest part of an account that an entry may hold, relative to an even part.
 const MIN_PART: f64 = 0.25;
 /// The largest request of the last while is remembered for this long.
@@ -61,6 +65,9 @@
     pub key: SmolStr,
     /// Tokens drawn by all entries, less what they returned. Invariant: at most the prepaid total.
     pub drawn: BTreeMap<ClientAccountId, Tokens>,
+    /// Tokens that were lost with entries that ended without returning them.
+    #[serde(default)]
+    pub lost: BTreeMap<ClientAccountId, Tokens>,
     /// The entries.
     pub holders: BTreeMap<VmId, Holder>,
 }
@@ -98,6 +105,8 @@
 struct Purse {
     free: Tokens,
     reserved: Tokens,
+    /// The part of `reserved` that targets have already used: prompts of requests that run.
+    running: Tokens,
     /// What each waiting request needs.
     waiting: Vec<Tokens>,
     lent: loan::Lent,
@@ -114,6 +123,11 @@
         self.waiting.iter().copied().sum()
     }
 
+    /// Returns what is not used yet.
+    fn unspent(&self) -> Tokens {
+        self.free + self.reserved.saturating_sub(self.running)
+    }
+
     fn rate(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.rated).get() as f64;
         self.rate * (-age / RATE_SPAN.get() as f64).exp()
@@ -258,6 +272,15 @@
         Err(self.shortage(account, worst, now))
     }
 
+    /// Notes that a target uses `tokens` of a reservation, or that it turned out not to.
+    pub fn set_running(&mut self, reservation: &Reservation, tokens: Tokens, is_running: bool) {
+        let purse = self.purses.entry(reservation.account.clone()).or_default();
+        purse.running = match is_running {
+            true => purse.running + tokens,
+            false => purse.running.saturating_sub(tokens),
+        };
+    }
+
     /// Ends a reservation of which `used` was used; the rest is free again.
     pub fn settle(&mut self, reservation: &Reservation, used: Tokens, now: Millis) {
         let purse = self.purses.entry(reservation.account.clone()).or_default();
@@ -297,7 +320,9 @@
             return Short::Unknown;
         };
         let left = paid.saturating_sub(shares.drawn(account));
-        let (free, reserved) = self.holding(account);
+        let purse = self.purses.get(account);
+        let free = purse.map_or(Tokens::ZERO, |purse| purse.free);
+        let here = purse.map_or(Tokens::ZERO, Purse::unspent);
         if left + free >= worst {
             return Short::Drawable;
         }
@@ -306,7 +331,7 @@
         let lent = self.purses.get(account);
         let lent = lent.map_or(Tokens::ZERO, |purse| purse.lent.counted(now));
         let elsewhere = unspent.sum::<Tokens>() + lent;
-        if left + free + reserved + elsewhere >= worst {
+        if left + here + elsewhere >= worst {
             Short::Elsewhere
         } else {
             Short::Exhausted
@@ -314,6 +339,15 @@
     }
 }
 
+/// Returns what all entries together should hold of an account that has `total` left, whoever
+/// holds it. Less once kills have cost the account its share of losses.
+fn held_by_all(shares: &Shares, account: &ClientAccountId, paid: Tokens, total: Tokens) -> u64 {
+    let lost = shares.lost.get(account).copied().unwrap_or_default();
+    let may_lose = (paid.get() * LOSS_PERCENT / 100).saturating_sub(lost.get());
+    let careful = total.get() * CAREFUL_PERCENT / 100;
+    (total.get() * HELD_PERCENT / 100).min(may_lose.max(careful))
+}
+
 /// Writes of the shared record.
 impl Wallet {
     /// Takes the record as read, and settles a write of unknown outcome by it.
@@ -463,10 +497,13 @@
             .iter()
             .filter(|(vm, _)| **vm != self.me)
             .filter_map(|(_, holder)| holder.unspent.get(account).copied());
-        let (free, reserved) = self.holding(account);
+        let here = self
+            .purses
+            .get(account)
+            .map_or(Tokens::ZERO, Purse::unspent);
         let left = paid.saturating_sub(shares.drawn(account));
-        let total: Tokens = unspent.sum::<Tokens>() + free + reserved + left;
-        let held = total.get() * HELD_PERCENT / 100;
+        let total: Tokens = unspent.sum::<Tokens>() + here + left;
+        let held = held_by_all(shares, account, paid, total);
         let purse = self.purses.get(account);
         let rate = purse.map_or(0.0, |purse| purse.rate(now));
         let fair = held as f64 * self.part(shares, account, rate, now);
@@ -495,7 +532,7 @@
         let mut unspent: BTreeMap<ClientAccountId, Tokens> = self
             .purses
             .iter()
-            .map(|(account, purse)| (account.clone(), purse.free + purse.reserved))
+            .map(|(account, purse)| (account.clone(), purse.unspent()))
             .collect();
         for step in moves {
             let drawn = shares.drawn.entry(step.account.clone()).or_default();
@@ -511,6 +548,17 @@
         if shares.key.is_empty() {
             shares.key = format!("{:032x}", rand::random::<u128>()).into();
         }
+        let is_gone = |vm: &VmId, holder: &Holder| {
+            let is_replaced = *vm == self.me && holder.start != self.start;
+            is_replaced || !is_recent(vm)
+        };
+        let gone = shares
+            .holders
+            .iter()
+            .filter(|(vm, holder)| is_gone(vm, holder));
+        for (account, tokens) in gone.flat_map(|(_, holder)| &holder.unspent) {
+            *shares.lost.entry(account.clone()).or_default() += *tokens;
+        }
         shares.holders.retain(|vm, _| is_recent(vm));
         let rates = self.purses.iter().filter_map(|(account, purse)| {
             let rate = Tokens::new(purse.rate(now) as u64);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -129,7 +129,7 @@
             return Box::pin(whole(attempts, opened, trace)).await;
         }
     }
-    attempts.bill.has_run = true;
+    attempts.bill.set_run(true);
     strip_connection(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     let arrived = attempts.accepted.arrived;
--- a/crates/gateway/tests/gateway/choose.rs
+++ b/crates/gateway/tests/gateway/choose.rs
@@ -17,6 +17,7 @@
         running: 0,
         waiting: 0,
         slots: 128,
+        reading_part: 0.0,
         slowness: 1.0,
         cached_parts: 0,
     }
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -1,11 +1,12 @@
 //! What an entry knows of its targets.
 
 use cyc_gateway::{
+    call::Prompt,
     choose::Options,
     fleet::{Fleet, Verdict},
     member::{Record, TargetState},
 };
-use cyc_types::{Millis, ServiceId, TargetId};
+use cyc_types::{Millis, ServiceId, TargetId, Tokens};
 use googletest::prelude::*;
 
 fn record(id: &str, state: TargetState) -> Record {
@@ -88,3 +89,35 @@
     let is_out = fleet.end(&id("i-1"), 0, Verdict::NotReached, Millis::new(3));
     expect_true!(is_out);
 }
+
+/// Pattern: a burst of short prompts with live streams. The engines kept for short prompts take
+/// them until half of their time goes into reading; then the others help, before what runs there
+/// comes to a halt.
+#[gtest]
+fn a_burst_of_short_prompts_spills_before_the_lane_is_full() {
+    let names = ["i-1", "i-2", "i-3", "i-4"];
+    let records = names.map(|name| record(name, TargetState::Ready));
+    let mut fleet = fleet(&records);
+    fleet.set_entries(5);
+    let prompt = Prompt {
+        input: Tokens::new(2_400),
+        max_output: Tokens::new(100),
+        parts: Vec::new(),
+    };
+    // The 30 tokens a millisecond of an engine allow 12.5 prompts a second; a fifth comes here.
+    let spread = |fleet: &mut Fleet, per_second: u64| {
+        let mut counts = std::collections::BTreeMap::<TargetId, u64>::new();
+        for index in 0..per_second * 6 {
+            let now = Millis::new(index * 1_000 / per_second);
+            let (target, choice) = fleet.choose(&service(), Some(&prompt), &[], now).unwrap();
+            fleet.start(&target, choice.uncached, now);
+            fleet.end(&target, choice.uncached, Verdict::Answered, now);
+            *counts.entry(target).or_default() += 1;
+        }
+        let most = counts.values().copied().max().unwrap_or_default();
+        most as f64 / (per_second * 6) as f64
+    };
+    expect_that!(spread(&mut fleet, 1), eq(1.0));
+    // At 6 a second here, 30 in all, one engine of four could serve 40 percent of them at most.
+    expect_that!(spread(&mut fleet, 6), le(0.4));
+}
