Open no more connections than a target accepts; a call that hangs goes to another target

Cause: the operators' limit of connections was read and not used, and a status check at a target that hangs waited for its route's timeout. Change: a target without room for a connection is not chosen, by this entry's part of the limit; an idempotent call that may be repeated is given up after one and a half objectives.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -83,7 +83,7 @@
     pub reread_factor: f64,
     /// Delay that the other lane is taken for: what a long prompt costs the streams beside it.
     pub lane_ms: f64,
-    /// What a step of reading beyond [`QUIET_STEPS`] costs each stream that runs beside it.
+    /// What a step of reading beyond the second costs each stream that runs beside it.
     pub harm_ms: f64,
     /// Delay that a target in another availability zone is taken for; stands for the price of
     /// the bytes too.
--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -44,13 +44,29 @@
     /// True if no request was sent before.
     pub is_fresh: bool,
     task: JoinHandle<()>,
-    open: Rc<Cell<u32>>,
+    _slot: Slot,
 }
 
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
-        self.open.set(self.open.get().saturating_sub(1));
+    }
+}
+
+/// One of the connections that are open or being opened, until dropped.
+#[derive(Debug)]
+struct Slot(Rc<Cell<u32>>);
+
+impl Slot {
+    fn new(open: &Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
     }
 }
 
@@ -78,11 +94,16 @@
         }
     }
 
-    /// Returns the number of open connections.
+    /// Returns the number of connections that are open or being opened.
     pub fn open(&self) -> u32 {
         self.open.get()
     }
 
+    /// Returns true if a request could be sent while at most `limit` connections are open.
+    pub fn has_room(&self, limit: u32) -> bool {
+        self.open.get() < limit || !self.idle.borrow().is_empty()
+    }
+
     /// Takes the idle connection that was used last.
     pub fn take_idle(&self) -> Option<Conn> {
         let now = Instant::now();
@@ -100,6 +121,7 @@
     /// # Errors
     /// The error of the socket; nothing was sent.
     pub async fn connect(&self) -> io::Result<Conn> {
+        let slot = Slot::new(&self.open);
         let timeout = CONNECT_TIMEOUT.duration();
         let stream = tokio::time::timeout(timeout, connect(self.addr)).await??;
         let (sender, conn) = http1::Builder::new()
@@ -111,12 +133,11 @@
             // The request on the connection gets the same error.
             conn.await.ok();
         });
-        self.open.set(self.open.get() + 1);
         Ok(Conn {
             sender,
             is_fresh: true,
             task,
-            open: self.open.clone(),
+            _slot: slot,
         })
     }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -163,6 +163,15 @@
     pub expected: Millis,
 }
 
+/// The service of a request, and what this entry may use of each of its targets.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// Connections that this entry may have open to one target.
+    pub connections: u32,
+}
+
 /// How a send ended, for the target's health.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -265,20 +274,21 @@
         self.targets.get(id)
     }
 
-    /// Chooses a target of `service` outside `tried`. Targets that were taken out of use are only
+    /// Chooses a target of the service outside `tried`, to which a connection may be had. Targets that were taken out of use are only
     /// chosen when they are due for another try, or when there are no others.
     pub fn choose(
         &self,
-        service: &ServiceId,
+        wanted: &Wanted<'_>,
         prompt: Option<&Prompt>,
         tried: &[TargetId],
         now: Millis,
     ) -> Option<(TargetId, Choice)> {
         let shared = prompt.map_or(&[][..], Prompt::shared);
         let usable = |target: &&Target| {
-            target.record.service == *service
+            target.record.service == *wanted.service
                 && target.record.state == TargetState::Ready
                 && !tried.contains(&target.record.id)
+                && target.pool.has_room(wanted.connections)
         };
         let all: Vec<&Target> = self.targets.values().filter(usable).collect();
         let is_due = |target: &&&Target| target.health.standing(now) == Standing::Probe;
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -7,13 +7,15 @@
 use http::{Request, Response, StatusCode, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::{Accepted, Bill, retry_after};
 use crate::{
     answer::Failure,
     choose::Choice,
+    config::{RouteKind, Service},
     conn::{Conn, Pool},
-    fleet::{Read, Verdict},
+    fleet::{Read, Verdict, Wanted},
     port::{AnswerFacts, Sending, Wire},
     state::State,
 };
@@ -22,6 +24,9 @@
 const MAX_CONNECTS: u32 = 4;
 /// Base of the advice when to come back if no target takes the request.
 const RETRY_AFTER_TARGET: Millis = Millis::new(350);
+/// The part of a target's connections that entries use, in percent: their number is known with a
+/// delay, and a target accepts fewer while many requests wait there.
+const CONNECTIONS_PERCENT: u64 = 90;
 /// With less than this left, a target could not answer in time.
 const MIN_LEFT: Millis = Millis::new(20);
 
@@ -172,7 +177,7 @@
             }
             let chosen = self.choose();
             let Some((target, choice)) = chosen else {
-                return Err(self.unserved("no target of the service is left"));
+                return Err(self.unserved("no target of the service can take it"));
             };
             self.estimate = choice.estimate;
             let missed = match self.send(&target, &choice, resume_after).await {
@@ -217,7 +222,12 @@
         let entries = self.state.entries();
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.set_entries(entries);
-        fleet.choose(&self.service, prompt, &self.tried, self.state.now())
+        let service = self.accepted.config.service(&self.service);
+        let wanted = Wanted {
+            service: &self.service,
+            connections: connections(service, entries),
+        };
+        fleet.choose(&wanted, prompt, &self.tried, self.state.now())
     }
 
     fn log_missed(&self, target: &TargetId, missed: &Missed) {
@@ -288,7 +298,13 @@
         self.sends += 1;
         // From here on the target may run the request, also if the caller leaves.
         let had_run = self.bill.set_run(true);
-        let answer = match tokio::time::timeout_at(self.accepted.limit, sent).await {
+        let until = self.patience();
+        let answer = match tokio::time::timeout_at(until, sent).await {
+            Err(_) if until < self.accepted.limit => {
+                let verdict = run.silent();
+                run.end(verdict);
+                return Err(Missed::Unknown("no answer within the usual time".into()));
+            }
             Err(_) => {
                 self.may_have_run = true;
                 let verdict = run.silent();
@@ -317,6 +333,20 @@
         opened
     }
 
+    /// Returns until when the answer of this send is waited for. A call that may be repeated goes
+    /// to another target while there is time for that.
+    fn patience(&self) -> Instant {
+        let accepted = &self.accepted;
+        let usual = accepted.route.objective.duration() * 3 / 2;
+        let is_call = accepted.route.kind == RouteKind::Idempotent;
+        let has_time = accepted.left().duration() > usual * 2;
+        if is_call && has_time && self.may_repeat() {
+            Instant::now() + usual
+        } else {
+            accepted.limit
+        }
+    }
+
     fn request(
         &self,
         target: &TargetId,
@@ -390,6 +420,13 @@
     }
 }
 
+/// Returns how many connections this entry may have open to one target of a service.
+fn connections(service: Option<&Service>, entries: usize) -> u32 {
+    let all = service.map_or(u32::MAX, |service| service.max_connections);
+    let used = u64::from(all) * CONNECTIONS_PERCENT / 100 / entries as u64;
+    used.max(1) as u32
+}
+
 /// Returns true if the status promises that the request has not run. Only a target that says so
 /// itself may give one.
 fn is_promise(status: StatusCode) -> bool {
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -512,7 +512,7 @@
         cover.max(first).min(Tokens::new(fair as u64))
     }
 
-    /// Returns this entry's part of an account's use, at least [`MIN_PART`] of an even part:
+    /// Returns this entry's part of an account's use, at least a quarter of an even part:
     /// callers of one account mostly stay with one entry.
     fn part(&self, shares: &Shares, account: &ClientAccountId, rate: f64, now: Millis) -> f64 {
         let others = shares.holders.iter().filter(|(vm, _)| **vm != self.me);
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -3,7 +3,7 @@
 use cyc_gateway::{
     call::Prompt,
     choose::Options,
-    fleet::{Fleet, Verdict},
+    fleet::{Fleet, Verdict, Wanted},
     member::{Record, TargetState},
 };
 use cyc_types::{Millis, ServiceId, TargetId, Tokens};
@@ -25,6 +25,13 @@
     "desk".parse().unwrap()
 }
 
+fn wanted(service: &ServiceId) -> Wanted<'_> {
+    Wanted {
+        service,
+        connections: 8,
+    }
+}
+
 fn id(id: &str) -> TargetId {
     id.parse().unwrap()
 }
@@ -36,7 +43,7 @@
 }
 
 fn chosen(fleet: &Fleet, tried: &[TargetId], now: u64) -> Option<TargetId> {
-    let found = fleet.choose(&service(), None, tried, Millis::new(now));
+    let found = fleet.choose(&wanted(&service()), None, tried, Millis::new(now));
     found.map(|(target, _)| target)
 }
 
@@ -109,7 +116,9 @@
         let mut counts = std::collections::BTreeMap::<TargetId, u64>::new();
         for index in 0..per_second * 6 {
             let now = Millis::new(index * 1_000 / per_second);
-            let (target, choice) = fleet.choose(&service(), Some(&prompt), &[], now).unwrap();
+            let (target, choice) = fleet
+                .choose(&wanted(&service()), Some(&prompt), &[], now)
+                .unwrap();
             fleet.start(&target, choice.uncached, now);
             fleet.end(&target, choice.uncached, Verdict::Answered, now);
             *counts.entry(target).or_default() += 1;
@@ -121,3 +130,18 @@
     // At 6 a second here, 30 in all, one engine of four could serve 40 percent of them at most.
     expect_that!(spread(&mut fleet, 6), le(0.4));
 }
+
+#[gtest]
+fn a_target_without_room_for_a_connection_is_not_chosen() {
+    let fleet = fleet(&[record("i-1", TargetState::Ready)]);
+    let service = service();
+    let full = Wanted {
+        service: &service,
+        connections: 0,
+    };
+    expect_that!(fleet.choose(&full, None, &[], Millis::ZERO), none());
+    expect_that!(
+        fleet.choose(&wanted(&service), None, &[], Millis::ZERO),
+        some(anything())
+    );
+}
