--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -94,11 +94,6 @@
         }
     }
 
-    /// Returns the number of connections that are open or being opened.
-    pub fn open(&self) -> u32 {
-        self.open.get()
-    }
-
     /// Returns true if a request could be sent while at most `limit` connections are open.
     pub fn has_room(&self, limit: u32) -> bool {
         self.open.get() < limit || !self.idle.borrow().is_empty()
--- a/crates/gateway/src/control/config.rs
+++ b/crates/gateway/src/control/config.rs
@@ -25,7 +25,7 @@
             Ok((config, version)) => {
                 let lost = pause.reset();
                 if lost > 0 {
-                    spdlog::info!("configuration followed again", kv: { failures = lost });
+                    spdlog::info!("config_followed", kv: { failures = lost });
                 }
                 let is_missing = config.is_none() && since.is_none();
                 since = Some(version);
@@ -48,7 +48,7 @@
 
 fn lost(pause: &mut Pause, error: &StoreError) -> Millis {
     let wait = pause.grow();
-    spdlog::warn!("configuration cannot be read", kv: {
+    spdlog::warn!("config_not_read", kv: {
         error = error.to_string(),
         again_ms = wait.get(),
     });
@@ -66,7 +66,7 @@
         Some((account.id.clone(), paid))
     });
     state.wallet.borrow_mut().set_prepaid(totals);
-    spdlog::info!("configuration in force", kv: {
+    spdlog::info!("config_in_force", kv: {
         revision = config.revision.get(),
         before = current.map_or(0, |revision| revision.get()),
         accounts = config.accounts().len(),
--- a/crates/gateway/src/control/loans.rs
+++ b/crates/gateway/src/control/loans.rs
@@ -84,7 +84,7 @@
             Err(error) => error.clone(),
         };
         let tokens = reply.as_ref().map_or(0, |reply| reply.tokens.get());
-        spdlog::info!("loan asked for", kv: {
+        spdlog::info!("loan_asked", kv: {
             account = request.account.as_str(),
             lender = addr.to_string(),
             least = request.least.get(),
@@ -167,7 +167,7 @@
             (StatusCode::OK, reply)
         }
         Err(error) => {
-            spdlog::warn!("loan cannot be read", kv: { error = error.as_str() });
+            spdlog::warn!("loan_not_read", kv: { error = error.as_str() });
             (StatusCode::BAD_REQUEST, error.into_bytes())
         }
     };
--- a/crates/gateway/src/control/shares.rs
+++ b/crates/gateway/src/control/shares.rs
@@ -34,7 +34,7 @@
                 let failures = pause.reset();
                 state.shares_failures.set(0);
                 if failures > 0 {
-                    spdlog::info!("prepaid record reached again", kv: { failures = failures });
+                    spdlog::info!("shares_reached", kv: { failures = failures });
                 }
                 if is_done {
                     sleep(GAP.duration()).await;
@@ -48,7 +48,7 @@
             Err(error) => {
                 let wait = pause.grow();
                 state.shares_failures.set(state.shares_failures.get() + 1);
-                spdlog::warn!("prepaid record cannot be reached", kv: {
+                spdlog::warn!("shares_not_reached", kv: {
                     error = error.to_string(),
                     again_ms = wait.get(),
                 });
@@ -99,7 +99,7 @@
             Ok(_) if state.wallet.borrow().is_returned() => return true,
             Ok(_) => {}
             Err(error) => {
-                spdlog::warn!("prepaid tokens cannot be returned", kv: {
+                spdlog::warn!("shares_not_returned", kv: {
                     error = error.to_string(),
                 });
                 sleep(super::PAUSE_MIN.duration()).await;
@@ -126,7 +126,7 @@
     for step in &plan.moves {
         let total = plan.shares.drawn.get(&step.account);
         let total = total.copied().unwrap_or_default();
-        spdlog::info!("prepaid move", kv: {
+        spdlog::info!("prepaid_move", kv: {
             account = step.account.as_str(),
             drawn = step.drawn.get(),
             returned = step.returned.get(),
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -41,7 +41,7 @@
             Ok((changes, version)) => {
                 let failures = pause.reset();
                 if failures > 0 {
-                    spdlog::info!("targets followed again", kv: { failures = failures });
+                    spdlog::info!("targets_followed", kv: { failures = failures });
                 }
                 let now = state.now();
                 if failures >= AWAY_FAILURES {
@@ -67,7 +67,7 @@
                     since = None;
                 }
                 let wait = pause.grow();
-                spdlog::warn!("targets cannot be read", kv: {
+                spdlog::warn!("targets_not_read", kv: {
                     error = error.to_string(),
                     again_ms = wait.get(),
                 });
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -137,12 +137,12 @@
         match reload() {
             Ok(settings) => {
                 state.repeats.borrow_mut().set_options(settings.repeats);
-                spdlog::info!("settings read again", kv: {
+                spdlog::info!("settings_read", kv: {
                     repeat_ratio = settings.repeats.ratio,
                     repeat_extra = settings.repeats.extra,
                 });
             }
-            Err(error) => spdlog::error!("settings cannot be read again", kv: {
+            Err(error) => spdlog::error!("settings_not_read", kv: {
                 error = error.as_str(),
             }),
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,7 +8,6 @@
 
 use cyc_route::{Failure, Health, Standing, health};
 use cyc_types::{AvailabilityZone, Millis, ServiceId, TargetId};
-use smol_str::SmolStr;
 
 use crate::{
     call::{Prompt, PromptPart},
@@ -259,16 +258,6 @@
         self.targets.values().filter(is_ready).count()
     }
 
-    /// Returns the number of targets.
-    pub fn len(&self) -> usize {
-        self.targets.len()
-    }
-
-    /// Returns true if no target is known.
-    pub fn is_empty(&self) -> bool {
-        self.targets.is_empty()
-    }
-
     /// Returns a target.
     pub fn get(&self, id: &TargetId) -> Option<&Target> {
         self.targets.get(id)
@@ -369,16 +358,4 @@
         }
         was_open && target.health.standing(now) != Standing::Open
     }
-
-    /// Returns all targets with their standing, for logs.
-    pub fn standings(&self, now: Millis) -> Vec<(SmolStr, Standing)> {
-        let all = self.targets.values();
-        all.map(|target| {
-            (
-                target.record.id.as_str().into(),
-                target.health.standing(now),
-            )
-        })
-        .collect()
-    }
 }
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -89,7 +89,7 @@
         drop(fleet);
         if is_out {
             let verdict = format!("{:?}", self.verdict);
-            spdlog::warn!("target taken out of use", kv: {
+            spdlog::warn!("target_out", kv: {
                 target = self.target.as_str(),
                 cause = verdict,
             });
@@ -237,7 +237,7 @@
             Missed::Unknown(why) => ("unknown", why.as_str()),
             Missed::Late => ("late", ""),
         };
-        spdlog::info!("send failed", kv: {
+        spdlog::info!("send_failed", kv: {
             id = self.accepted.call.id.as_str(),
             target = target.as_str(),
             sends = self.sends,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -44,7 +44,7 @@
                 tokio::task::spawn_local(serve_caller(state, stream));
             }
             Err(error) => {
-                spdlog::warn!("accept failed", kv: { error = error.to_string() });
+                spdlog::warn!("accept_failed", kv: { error = error.to_string() });
                 sleep(ACCEPT_PAUSE.duration()).await;
             }
         }
@@ -53,7 +53,7 @@
 
 async fn serve_caller<W: Wire>(state: Rc<State<W>>, stream: TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
-        spdlog::debug!("connection lost", kv: { error = error.to_string() });
+        spdlog::debug!("nodelay_failed", kv: { error = error.to_string() });
         return;
     }
     let limits = state.config.borrow().as_ref().map(|config| config.limits);
@@ -132,7 +132,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                spdlog::warn!("accept failed", kv: { error = error.to_string() });
+                spdlog::warn!("accept_failed", kv: { error = error.to_string() });
                 sleep(ACCEPT_PAUSE.duration()).await;
                 continue;
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 };
 
 use cyc_obs::Metrics;
-use cyc_types::{Clock, Millis, VmId};
+use cyc_types::{Clock, Millis};
 use tokio::sync::{Notify, watch};
 
 use crate::{
@@ -22,8 +22,6 @@
     pub clock: Clock,
     /// Counters and histograms.
     pub metrics: Metrics,
-    /// This VM.
-    pub vm: VmId,
     /// The configuration in force.
     pub config: RefCell<Option<Rc<Configuration>>>,
     /// The list of targets.
@@ -57,7 +55,6 @@
             wire,
             clock: Clock::System,
             metrics,
-            vm: settings.vm.clone(),
             config: RefCell::new(None),
             members: RefCell::new(Members::new()),
             members_known: Cell::new(false),
