--- /dev/null
+++ b/crates/gateway/src/share/purse.rs
@@ -0,0 +1,65 @@
+//! The tokens of one account at this entry, and its rate of use.
+
+use cyc_types::{Millis, Tokens};
+
+use super::loan::Lent;
+
+/// The largest request of the last while is remembered for this long.
+const LARGEST_FOR: Millis = Millis::new(20_000);
+/// Time constant of the measured rate of use.
+const RATE_SPAN: Millis = Millis::new(3_000);
+/// The use that an entry keeps drawn ahead: the store is away for up to 9 s at a time.
+pub const COVER: Millis = Millis::new(10_000);
+
+/// The tokens of one account at this entry.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Purse {
+    pub(super) free: Tokens,
+    pub(super) reserved: Tokens,
+    /// The part of `reserved` that targets have already used: prompts of requests that run.
+    pub(super) running: Tokens,
+    /// What each waiting request needs.
+    pub(super) waiting: Vec<Tokens>,
+    pub(super) lent: Lent,
+    /// Tokens a second, exponentially averaged.
+    rate: f64,
+    rated: Millis,
+    /// The most that one of the recent requests could cost, and when it came.
+    pub(super) largest: (Tokens, Millis),
+}
+
+impl Purse {
+    /// Returns what the waiting requests need together.
+    pub(super) fn wanted(&self) -> Tokens {
+        self.waiting.iter().copied().sum()
+    }
+
+    /// Returns what is not used yet.
+    pub(super) fn unspent(&self) -> Tokens {
+        self.free + self.reserved.saturating_sub(self.running)
+    }
+
+    pub(super) fn rate(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.rated).get() as f64;
+        self.rate * (-age / RATE_SPAN.get() as f64).exp()
+    }
+
+    pub(super) fn note_use(&mut self, used: Tokens, now: Millis) {
+        let span_s = RATE_SPAN.get() as f64 / 1_000.0;
+        self.rate = self.rate(now) + used.get() as f64 / span_s;
+        self.rated = now;
+    }
+
+    pub(super) fn note_size(&mut self, worst: Tokens, now: Millis) {
+        let is_old = now.saturating_sub(self.largest.1) > LARGEST_FOR;
+        if is_old || worst >= self.largest.0 {
+            self.largest = (worst, now);
+        }
+    }
+
+    /// Returns what covers the expected use in [`COVER`], and one more large request.
+    pub(super) fn cover(&self, now: Millis) -> Tokens {
+        let expected = self.rate(now) * COVER.get() as f64 / 1_000.0;
+        Tokens::new(expected as u64) + self.largest.0
+    }
+}
