Daemons of the end-to-end tests get loopback addresses of their own

Cause: in one run of the whole check two tests of claims failed: a sidecar's old port was held for 20 s ('the old address is free' did not come about, 3,497 tries), and the tries slowed its neighbour. Outgoing connections of any process come from 127.0.0.1 and may be given the port while the sidecar is down. Change: each daemon listens on an address of 127.1.0.0/16 that nothing else uses, so the port stays free. The tests are as they were.

--- a/crates/quickstart/src/deploy.rs
+++ b/crates/quickstart/src/deploy.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     path::PathBuf,
     process,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicU16, AtomicU64, Ordering},
     time::Duration,
 };
 
@@ -176,13 +176,7 @@
             TargetKind::Desk => Process::start("standin-service", &[])?,
         };
         let to_platform = TcpRelay::start(self.platform.addr()).await?;
-        let text = self.sidecar_settings(
-            kind,
-            number,
-            &target,
-            &to_platform,
-            ([127, 0, 0, 1], 0).into(),
-        );
+        let text = self.sidecar_settings(kind, number, &target, &to_platform, own_address());
         let sidecar = self
             .start_daemon("sidecar", &target_name(kind, number), &text)
             .await?;
@@ -203,7 +197,7 @@
 
     async fn add_entry(&mut self, number: usize) -> Result<(), Error> {
         let to_platform = TcpRelay::start(self.platform.addr()).await?;
-        let text = self.entry_settings(number, &to_platform, ([127, 0, 0, 1], 0).into());
+        let text = self.entry_settings(number, &to_platform, own_address());
         let process = self
             .start_daemon("entry", &format!("entry-{number}"), &text)
             .await?;
@@ -276,6 +270,14 @@
     }
 }
 
+/// Returns a loopback address for one daemon alone, port 0. Outgoing connections come from
+/// 127.0.0.1, and other daemons have other addresses, so nobody takes its port while it restarts.
+fn own_address() -> SocketAddr {
+    static DAEMONS: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = DAEMONS.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    ([127, 1, high, low], 0).into()
+}
+
 fn target_name(kind: TargetKind, number: usize) -> String {
     match kind {
         TargetKind::Engine => format!("engine-{number}"),
