Gateway: use the shared Refusal in place of a copy of it

Failure had the same fields and methods as cyc_types::Refusal. The answer module keeps what was its own: the HTTP answer. No change of behaviour.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use cyc_types::{ErrorKind, Millis};
+use cyc_types::Refusal;
 use futures::Stream;
 use http::{HeaderValue, Response, StatusCode, header};
 use hyper::body::{Body, Frame, SizeHint};
@@ -64,53 +64,25 @@
     }
 }
 
-/// A refusal or failure of the entry's own.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Failure {
-    /// What happened.
-    pub kind: ErrorKind,
-    /// When the caller should come back.
-    pub retry_after: Option<Millis>,
-    /// More, for the log and the caller.
-    pub detail: String,
-}
-
-impl Failure {
-    /// Creates a failure.
-    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
-        Self {
-            kind,
-            retry_after: None,
-            detail: detail.into(),
-        }
-    }
-
-    /// Sets when the caller should come back.
-    pub fn with_retry_after(mut self, after: Millis) -> Self {
-        self.retry_after = Some(after);
-        self
-    }
-
-    /// Returns the answer to the caller.
-    pub fn response(&self) -> Response<Reply> {
-        let row = self.kind.answer();
-        let body = serde_json::json!({
-            "error": self.kind.to_string(),
-            "outcome": row.outcome.to_string(),
-            "detail": self.detail,
-        });
-        let mut response = Response::new(Reply::Whole(Some(body.to_string().into())));
-        *response.status_mut() =
-            StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let headers = response.headers_mut();
-        let json = HeaderValue::from_static("application/json");
-        headers.insert(header::CONTENT_TYPE, json);
-        if let Some(after) = self.retry_after {
-            let seconds = format!("{:.3}", after.get() as f64 / 1_000.0);
-            if let Ok(value) = HeaderValue::from_str(&seconds) {
-                headers.insert(header::RETRY_AFTER, value);
-            }
+/// Returns the answer to a caller whose request was refused or failed here.
+pub fn response(refusal: &Refusal) -> Response<Reply> {
+    let row = refusal.kind.answer();
+    let body = serde_json::json!({
+        "error": refusal.kind.to_string(),
+        "outcome": row.outcome.to_string(),
+        "detail": refusal.detail,
+    });
+    let mut response = Response::new(Reply::Whole(Some(body.to_string().into())));
+    *response.status_mut() =
+        StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    let json = HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json);
+    if let Some(after) = refusal.retry_after {
+        let seconds = format!("{:.3}", after.get() as f64 / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(header::RETRY_AFTER, value);
         }
-        response
     }
+    response
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cadence::{CountedExt as _, Timed as _};
-use cyc_types::{ClientAccountId, ErrorKind, Millis, Tokens};
+use cyc_types::{ClientAccountId, ErrorKind, Millis, Refusal, Tokens};
 use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    answer::{Failure, Reply},
+    answer::{self, Reply},
     call::Call,
     config::{Account, Configuration, Route},
     port::Wire,
@@ -193,16 +193,16 @@
     let _flight = Flight::new(&state);
     match answer(&state, req, arrived, &trace).await {
         Ok(response) => response,
-        Err(failure) => {
-            let response = failure.response();
-            let outcome = failure.kind.to_string();
+        Err(refusal) => {
+            let response = answer::response(&refusal);
+            let outcome = refusal.kind.to_string();
             log_end(
                 &state,
                 &trace.borrow(),
                 arrived,
                 response.status(),
                 &outcome,
-                &failure.detail,
+                &refusal.detail,
             );
             response
         }
@@ -231,7 +231,7 @@
     req: Request<Incoming>,
     arrived: Millis,
     trace: &RefCell<Trace>,
-) -> Result<Response<Reply>, Failure> {
+) -> Result<Response<Reply>, Refusal> {
     let (head, body) = req.into_parts();
     let accepted = accept(state, head, arrived, trace)?;
     let accepted = read_body(accepted, body).await?;
@@ -262,28 +262,28 @@
     head: request::Parts,
     arrived: Millis,
     trace: &RefCell<Trace>,
-) -> Result<Accepted, Failure> {
+) -> Result<Accepted, Refusal> {
     let decoded = state.wire.decode_call(&head);
     let mut trace = trace.borrow_mut();
     if let Ok(call) = &decoded {
         trace.id = call.id.clone();
     }
     let config = state.config.borrow().clone().ok_or_else(|| {
-        Failure::new(ErrorKind::NotConfigured, "no configuration was read yet")
+        Refusal::new(ErrorKind::NotConfigured, "no configuration was read yet")
             .with_retry_after(retry_after(RETRY_AFTER_START))
     })?;
     trace.revision = config.revision.get();
     let host = head.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = config.route(host, head.uri.path());
-    let route = route.map_err(|kind| Failure::new(kind, head.uri.path()))?;
+    let route = route.map_err(|kind| Refusal::new(kind, head.uri.path()))?;
     trace.route = route.name.clone();
     let call = decoded.map_err(|bad| {
         let detail = format!("{}: `{}`", bad.field, bad.value);
-        Failure::new(ErrorKind::BadRequest, detail)
+        Refusal::new(ErrorKind::BadRequest, detail)
     })?;
     let account = config.account(route, call.key.as_deref());
-    let account = account.map_err(|kind| Failure::new(kind, "the API key is not known"))?;
+    let account = account.map_err(|kind| Refusal::new(kind, "the API key is not known"))?;
     if let Some(account) = account {
         trace.account = account.id.as_str().into();
     }
@@ -291,7 +291,7 @@
     let stop = *state.stopping.borrow();
     if stop.is_some_and(|stop| !stop.admits(arrived, patience)) {
         let detail = "this entry stops before the answer could end";
-        return Err(Failure::new(ErrorKind::Draining, detail)
+        return Err(Refusal::new(ErrorKind::Draining, detail)
             .with_retry_after(retry_after(RETRY_AFTER_STOP)));
     }
     Ok(Accepted {
@@ -306,7 +306,7 @@
     })
 }
 
-async fn read_body(mut accepted: Accepted, body: Incoming) -> Result<Accepted, Failure> {
+async fn read_body(mut accepted: Accepted, body: Incoming) -> Result<Accepted, Refusal> {
     let most = accepted.config.limits.body_bytes.get() as usize;
     let read = Limited::new(body, most).collect();
     match tokio::time::timeout_at(accepted.limit, read).await {
@@ -316,10 +316,10 @@
         }
         Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
             let detail = format!("the body is longer than {most} bytes");
-            Err(Failure::new(ErrorKind::TooLarge, detail))
+            Err(Refusal::new(ErrorKind::TooLarge, detail))
         }
-        Ok(Err(error)) => Err(Failure::new(ErrorKind::BadRequest, error.to_string())),
-        Err(_) => Err(Failure::new(
+        Ok(Err(error)) => Err(Refusal::new(ErrorKind::BadRequest, error.to_string())),
+        Err(_) => Err(Refusal::new(
             ErrorKind::DeadlineBeforeStart,
             "the body did not arrive in time",
         )),
@@ -327,7 +327,7 @@
 }
 
 /// Reserves the most that the request can cost, waiting shortly for a draw.
-async fn reserve<W>(state: &Rc<State<W>>, accepted: &Accepted) -> Result<Bill<W>, Failure> {
+async fn reserve<W>(state: &Rc<State<W>>, accepted: &Accepted) -> Result<Bill<W>, Refusal> {
     let per_event = accepted.route.splits.first().and_then(|split| {
         let service = accepted.config.service(&split.service)?;
         Some(u64::from(service.tokens_per_event))
@@ -378,7 +378,7 @@
     accepted: &Accepted,
     account: &ClientAccountId,
     worst: Tokens,
-) -> Result<Reservation, Failure> {
+) -> Result<Reservation, Refusal> {
     state.wallet.borrow_mut().want(account, worst);
     let _want = Want {
         state,
@@ -417,16 +417,16 @@
     }
 }
 
-fn short(reason: Short, account: &ClientAccountId, worst: Tokens, failures: u32) -> Failure {
+fn short(reason: Short, account: &ClientAccountId, worst: Tokens, failures: u32) -> Refusal {
     let detail = format!("{worst} tokens of {account}: {reason:?}, store calls failed: {failures}");
     let base = match failures {
         0 => RETRY_AFTER,
         _ => RETRY_AFTER_OUTAGE,
     };
     match reason {
-        Short::Exhausted => Failure::new(ErrorKind::BudgetExhausted, detail),
+        Short::Exhausted => Refusal::new(ErrorKind::BudgetExhausted, detail),
         Short::Drawable | Short::Elsewhere | Short::Unknown => {
-            Failure::new(ErrorKind::BudgetUnreachable, detail).with_retry_after(retry_after(base))
+            Refusal::new(ErrorKind::BudgetUnreachable, detail).with_retry_after(retry_after(base))
         }
     }
 }
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use cyc_types::{ErrorKind, Millis, ServiceId, TargetId};
+use cyc_types::{ErrorKind, Millis, Refusal, ServiceId, TargetId};
 use http::{Request, Response, StatusCode, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -11,7 +11,6 @@
 
 use super::{Accepted, Bill, retry_after};
 use crate::{
-    answer::Failure,
     choose::Choice,
     config::{RouteKind, Service},
     conn::{Conn, Pool},
@@ -169,7 +168,7 @@
     ///
     /// # Errors
     /// A refusal if no target has run the request, else a failure that promises nothing.
-    pub async fn open(&mut self, resume_after: Option<u64>) -> Result<Opened<W>, Failure> {
+    pub async fn open(&mut self, resume_after: Option<u64>) -> Result<Opened<W>, Refusal> {
         let mut connects = 0;
         loop {
             if self.accepted.left() < MIN_LEFT {
@@ -247,22 +246,22 @@
         });
     }
 
-    fn late(&self) -> Failure {
+    fn late(&self) -> Refusal {
         if self.may_have_run {
-            return Failure::new(ErrorKind::DeadlineWhileRunning, "the time is over");
+            return Refusal::new(ErrorKind::DeadlineWhileRunning, "the time is over");
         }
-        Failure::new(
+        Refusal::new(
             ErrorKind::Overloaded,
             "the time is over before a target was reached",
         )
         .with_retry_after(retry_after(RETRY_AFTER_TARGET))
     }
 
-    fn unserved(&self, why: &str) -> Failure {
+    fn unserved(&self, why: &str) -> Refusal {
         if self.may_have_run {
-            return Failure::new(ErrorKind::OutcomeUnknown, why);
+            return Refusal::new(ErrorKind::OutcomeUnknown, why);
         }
-        Failure::new(ErrorKind::NoTarget, why).with_retry_after(retry_after(RETRY_AFTER_TARGET))
+        Refusal::new(ErrorKind::NoTarget, why).with_retry_after(retry_after(RETRY_AFTER_TARGET))
     }
 
     async fn send(
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,14 +1,14 @@
 //! Answers on their way back: whole bodies, and streams event by event.
 
 use bytes::{Bytes, BytesMut};
-use cyc_types::ErrorKind;
+use cyc_types::{ErrorKind, Refusal};
 use futures::stream;
 use http::{HeaderMap, HeaderName, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Limited};
 use tokio::time::Instant;
 
 use crate::{
-    answer::{Cut, Failure, Reply},
+    answer::{Cut, Reply},
     config::RouteKind,
     event::Splitter,
     fleet::Verdict,
@@ -52,7 +52,7 @@
     mut attempts: Attempts<W>,
     mut opened: Opened<W>,
     trace: &mut Trace,
-) -> Result<Response<Reply>, Failure> {
+) -> Result<Response<Reply>, Refusal> {
     loop {
         let is_stream = attempts.accepted.route.kind.is_stream();
         let result = if is_stream && opened.head.status.is_success() {
@@ -66,7 +66,7 @@
             Err(Broken::Again(again, why)) => {
                 attempts = *again;
                 if !attempts.may_repeat() || !attempts.take_repeat() {
-                    return Err(Failure::new(ErrorKind::AnswerIncomplete, why));
+                    return Err(Refusal::new(ErrorKind::AnswerIncomplete, why));
                 }
                 opened = attempts.open(None).await?;
                 trace.sends = attempts.sends;
@@ -80,7 +80,7 @@
     /// Another target may be asked.
     Again(Box<Attempts<W>>, String),
     /// Nothing more can be done.
-    Failed(Failure),
+    Failed(Refusal),
 }
 
 async fn whole<W: Wire>(
@@ -108,7 +108,7 @@
             let verdict = run.silent();
             run.end(verdict);
             let kind = ErrorKind::DeadlineWhileRunning;
-            return Err(Broken::Failed(Failure::new(kind, "the time is over")));
+            return Err(Broken::Failed(Refusal::new(kind, "the time is over")));
         }
     };
     if closes(&head.headers) {
@@ -281,7 +281,7 @@
             return Err("no other target may continue it".into());
         }
         let opened = self.attempts.open(self.last_id).await;
-        let opened = opened.map_err(|failure| failure.detail)?;
+        let opened = opened.map_err(|refusal| refusal.detail.to_string())?;
         self.trace.sends = self.attempts.sends;
         if !opened.head.status.is_success() {
             return Err(format!("the next target answered {}", opened.head.status));
@@ -347,7 +347,7 @@
             };
             relay.is_refused = true;
             *trace = std::mem::take(&mut relay.trace);
-            let failure = Failure::new(kind, relay.detail.clone());
+            let failure = Refusal::new(kind, relay.detail.clone());
             return Err(Broken::Failed(failure));
         }
     };
