A refusal after a broken answer promises nothing

Cause: whether a request may have run was noted for sends without an answer only. An idempotent call whose answer broke off, and whose second target refused, got a 503, which says not run. Change: a target whose answer has begun has run the request.

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -326,8 +326,13 @@
             Ok(Ok(answer)) => answer,
         };
         let opened = self.check(answer, conn, pool, run);
-        if let Err(Missed::NotRun(_)) = &opened {
-            self.bill.set_run(had_run);
+        match &opened {
+            // What answers has run, also if its answer breaks off later.
+            Ok(_) => self.may_have_run = true,
+            Err(Missed::NotRun(_)) => {
+                self.bill.set_run(had_run);
+            }
+            Err(_) => {}
         }
         opened
     }
