--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,13 +1,16 @@
-//! The controllers that keep the entry's state: configuration, list of targets, prepaid tokens.
+//! The controllers that keep the entry's state: configuration, list of targets, other entries,
+//! prepaid tokens.
 
 mod config;
 mod loans;
 mod shares;
+mod signs;
 mod targets;
 
 pub use config::follow_configuration;
-pub use loans::{keep_loans, lend};
+pub use loans::{Links, answer_entry, give_back, keep_giving_back, keep_loans};
 pub use shares::{keep_shares, return_shares};
+pub use signs::follow_entries;
 pub use targets::follow_targets;
 
 use cyc_types::Millis;
--- a/crates/gateway/src/control/loans.rs
+++ b/crates/gateway/src/control/loans.rs
@@ -1,27 +1,33 @@
-//! Borrows tokens from other entries while requests wait that the record cannot serve, and lends.
+//! Tokens between entries: borrows while requests wait, lends, and gives back what is not needed.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
-use cyc_types::{ClientAccountId, Millis};
+use cyc_types::{ClientAccountId, Millis, VmId};
 use futures::future::join_all;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
+use serde::{Serialize, de::DeserializeOwned};
+use smol_str::SmolStr;
 use tokio::{
     task::yield_now,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use crate::{
     conn::Pool,
+    peers::Contact,
     port::Wire,
-    share::{LoanReply, LoanRequest},
+    share::{GiveBack, LoanReply, LoanRequest, Need, Role, Short},
     state::State,
 };
 
-/// How long the answer of another entry is waited for: several round trips between zones.
-const LOAN_TIMEOUT: Millis = Millis::new(60);
+/// How long a lender waits for a draw of its own before it answers: several calls to the store.
+const LEND_WAIT: Millis = Millis::new(50);
+/// How long the answer of another entry is waited for: [`LEND_WAIT`] and several round trips
+/// between availability zones.
+const LOAN_TIMEOUT: Millis = Millis::new(110);
 /// An entry that did not answer is not asked again for this long.
 const SILENT_FOR: Millis = Millis::new(1_000);
 /// After no entry lent anything of an account, nobody is asked for this long.
@@ -29,149 +35,384 @@
 /// Entries asked for one loan.
 const MAX_ASKED: usize = 4;
 /// The shortest time between two rounds, so that a burst of requests shares one.
-const GAP: Millis = Millis::new(15);
+const GAP: Millis = Millis::new(5);
+/// Time between looks for tokens that are not needed any more.
+const GIVE_BACK_TICK: Millis = Millis::new(1_000);
 /// The longest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4_096;
+/// Where an entry is asked for tokens.
+const LOAN_PATH: &str = "/loan";
+/// Where an entry is handed tokens.
+const GIVE_BACK_PATH: &str = "/give-back";
 
-/// The other entries, as far as they were asked.
-#[derive(Default)]
-struct Peers {
+/// The other entries, as far as they were called.
+#[derive(Debug, Default)]
+pub struct Links {
     pools: HashMap<SocketAddr, Rc<Pool>>,
     silent: HashMap<SocketAddr, Instant>,
     /// Accounts of which no entry lent anything, and until when that is believed.
     fruitless: HashMap<ClientAccountId, Instant>,
 }
 
+/// Why another entry gave no answer.
+#[derive(Debug)]
+enum CallError {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The call may have been received.
+    Unanswered(String),
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unsent(why) | Self::Unanswered(why) => f.write_str(why),
+        }
+    }
+}
+
 /// Borrows until the process ends.
 pub async fn keep_loans<W: Wire>(state: Rc<State<W>>) {
-    let peers = RefCell::new(Peers::default());
     loop {
         state.loan_wanted.notified().await;
-        let requests = state.wallet.borrow().loan_requests(state.now());
-        let loans = requests
-            .iter()
-            .map(|request| borrow(&state, &peers, request));
+        let needs = state.wallet.borrow().needs(state.now());
+        let loans = needs.iter().map(|need| borrow(&state, need));
         join_all(loans).await;
         sleep(GAP.duration()).await;
     }
 }
 
-async fn borrow<W>(state: &State<W>, peers: &RefCell<Peers>, request: &LoanRequest) {
-    let believed = peers.borrow().fruitless.get(&request.account).copied();
+/// Gives back tokens until the process ends.
+pub async fn keep_giving_back<W: Wire>(state: Rc<State<W>>) {
+    loop {
+        sleep(GIVE_BACK_TICK.duration()).await;
+        give_back(&state).await;
+    }
+}
+
+/// Returns whom to ask for tokens of an account: its home, those that stand in for it, then
+/// whoever else may hold some.
+fn lenders<W>(state: &State<W>, account: &ClientAccountId) -> Vec<Contact> {
+    let peers = state.peers.borrow();
+    let ranks = peers.ranks(account);
+    let holders = state.wallet.borrow().lenders(account, state.now());
+    let others = holders.into_iter().filter(|vm| !ranks.contains(vm));
+    let all: Vec<VmId> = ranks.iter().cloned().chain(others).collect();
+    let contacts = all.iter().filter(|vm| **vm != state.vm);
+    let contacts = contacts.filter_map(|vm| peers.contact(vm));
+    let is_open = |contact: &Contact| !is_silent(state, contact.addr);
+    contacts.filter(is_open).take(MAX_ASKED).collect()
+}
+
+fn is_silent<W>(state: &State<W>, addr: SocketAddr) -> bool {
+    let until = state.links.borrow().silent.get(&addr).copied();
+    until.is_some_and(|until| until > Instant::now())
+}
+
+async fn borrow<W>(state: &State<W>, need: &Need) {
+    let believed = state.links.borrow().fruitless.get(&need.account).copied();
     if believed.is_some_and(|until| until > Instant::now()) {
         return;
     }
-    let mut request = request.clone();
+    let account = need.account.clone();
+    let mut need = need.clone();
     let mut is_fruitless = true;
-    let lenders = state.wallet.borrow().lenders(&request.account, state.now());
-    let is_silent = |addr: &SocketAddr| {
-        let until = peers.borrow().silent.get(addr).copied();
-        until.is_some_and(|until| until > Instant::now())
+    let mut is_answered = false;
+    let home = state.peers.borrow().ranks(&account).into_iter().next();
+    let lenders = lenders(state, &account);
+    // A home that is not asked is this entry, or was silent lately.
+    let mut is_home_out = match lenders.first() {
+        Some(first) if Some(&first.vm) == home.as_ref() => false,
+        _ => home.as_ref() != Some(&state.vm) || state.shares_failures.get() > 0,
     };
-    let open = lenders.into_iter().filter(|addr| !is_silent(addr));
-    for addr in open.take(MAX_ASKED).collect::<Vec<SocketAddr>>() {
-        let pool = peers
-            .borrow_mut()
-            .pools
-            .entry(addr)
-            .or_insert_with(|| Rc::new(Pool::new(addr)))
-            .clone();
-        let reply = timeout(LOAN_TIMEOUT.duration(), ask(&pool, &request)).await;
-        let reply = reply.unwrap_or_else(|_| Err("timeout".into()));
-        let outcome = match &reply {
-            Ok(reply) if reply.tokens.is_zero() => "none".to_string(),
-            Ok(_) => "lent".to_string(),
-            Err(error) => error.clone(),
-        };
-        let tokens = reply.as_ref().map_or(0, |reply| reply.tokens.get());
-        spdlog::info!("loan_asked", kv: {
-            account = request.account.as_str(),
-            lender = addr.to_string(),
-            least = request.least.get(),
-            want = request.want.get(),
-            tokens = tokens,
-            outcome = outcome,
-        });
+    for lender in lenders {
+        let is_home = Some(&lender.vm) == home.as_ref();
+        let reply = ask(state, &lender, &need, is_home || is_home_out).await;
+        is_answered |= reply.is_some();
+        let short = reply.and_then(|reply| reply.short);
+        if is_home {
+            is_home_out = match short {
+                _ if reply.is_none() => true,
+                Some(Short::Drawable | Short::Unknown) => true,
+                Some(Short::Elsewhere | Short::Exhausted) | None => false,
+            };
+        }
+        if short == Some(Short::Exhausted) {
+            let now = state.now();
+            state.wallet.borrow_mut().note_exhausted(&need, now);
+            break;
+        }
         match reply {
-            Ok(reply) if reply.tokens.is_zero() => {}
-            Ok(reply) => {
+            Some(reply) if !reply.tokens.is_zero() => {
                 is_fruitless = false;
                 state
                     .wallet
                     .borrow_mut()
-                    .borrow(&request.account, reply.tokens);
+                    .borrow(&need.account, reply.tokens);
                 state.wallet_changed.notify_waiters();
                 // The requests that the loan serves take their tokens first.
                 yield_now().await;
-                let rest = state.wallet.borrow().rest_of(&request, state.now());
+                let rest = state.wallet.borrow().need(&need.account, state.now());
                 match rest {
-                    Some(rest) => request = rest,
+                    Some(rest) => need = rest,
                     None => return,
                 }
             }
-            Err(_) => {
-                let until = Instant::now() + SILENT_FOR.duration();
-                peers.borrow_mut().silent.insert(addr, until);
-            }
+            Some(_) | None => {}
         }
     }
     if is_fruitless {
         let until = Instant::now() + FRUITLESS_FOR.duration();
-        peers.borrow_mut().fruitless.insert(request.account, until);
+        let mut links = state.links.borrow_mut();
+        links.fruitless.insert(account.clone(), until);
+    }
+    if !is_answered {
+        // Nobody else can be reached; the store perhaps can.
+        let now = state.now();
+        state.wallet.borrow_mut().stand_in(&account, now);
+        state.draw_wanted.notify_one();
+    }
+    state.wallet_changed.notify_waiters();
+}
+
+async fn ask<W>(
+    state: &State<W>,
+    lender: &Contact,
+    need: &Need,
+    should_draw: bool,
+) -> Option<LoanReply> {
+    let request = LoanRequest {
+        key: lender.key.clone(),
+        from: state.vm.clone(),
+        account: need.account.clone(),
+        least: need.least,
+        want: need.want,
+        should_draw,
+    };
+    let reply: Result<LoanReply, CallError> = call(state, lender.addr, LOAN_PATH, &request).await;
+    let outcome = match &reply {
+        Ok(reply) if reply.tokens.is_zero() => {
+            let short = reply.short.map(|short| format!("none: {short:?}"));
+            short.unwrap_or_else(|| "none".into())
+        }
+        Ok(_) => "lent".to_string(),
+        Err(error) => error.to_string(),
+    };
+    spdlog::info!("loan_asked", kv: {
+        account = need.account.as_str(),
+        lender = lender.vm.as_str(),
+        least = need.least.get(),
+        want = need.want.get(),
+        tokens = reply.as_ref().map_or(0, |reply| reply.tokens.get()),
+        outcome = outcome,
+    });
+    reply.ok()
+}
+
+/// Gives back what this entry does not need, to a home of each account. What cannot be given
+/// back is kept.
+pub async fn give_back<W>(state: &State<W>) {
+    let role = |account: &ClientAccountId| state.role(account);
+    let given = state.wallet.borrow_mut().give_back(role, state.now());
+    let gifts = given.into_iter().map(async |(account, tokens)| {
+        let Some(home) = lenders(state, &account).into_iter().next() else {
+            state.wallet.borrow_mut().borrow(&account, tokens);
+            return;
+        };
+        let gift = GiveBack {
+            key: home.key.clone(),
+            from: state.vm.clone(),
+            account: account.clone(),
+            tokens,
+        };
+        let reply: Result<(), CallError> = call(state, home.addr, GIVE_BACK_PATH, &gift).await;
+        let outcome = match &reply {
+            Ok(()) => "given".to_string(),
+            Err(CallError::Unsent(why)) => {
+                state.wallet.borrow_mut().borrow(&account, tokens);
+                format!("kept: {why}")
+            }
+            // Whether they arrived is not known, so nobody may use them here.
+            Err(CallError::Unanswered(why)) => format!("lost: {why}"),
+        };
+        spdlog::info!("tokens_given_back", kv: {
+            account = account.as_str(),
+            home = home.vm.as_str(),
+            tokens = tokens.get(),
+            outcome = outcome,
+        });
+    });
+    join_all(gifts).await;
+}
+
+/// Calls another entry. One that does not answer is left alone for a while.
+async fn call<W, T: DeserializeOwned>(
+    state: &State<W>,
+    addr: SocketAddr,
+    path: &str,
+    message: &impl Serialize,
+) -> Result<T, CallError> {
+    let pool = state
+        .links
+        .borrow_mut()
+        .pools
+        .entry(addr)
+        .or_insert_with(|| Rc::new(Pool::new(addr)))
+        .clone();
+    let sent = exchange(&pool, path, message);
+    let reply = timeout(LOAN_TIMEOUT.duration(), sent).await;
+    let reply = reply.unwrap_or_else(|_| Err(CallError::Unanswered("timeout".into())));
+    if reply.is_err() {
+        let until = Instant::now() + SILENT_FOR.duration();
+        state.links.borrow_mut().silent.insert(addr, until);
     }
+    reply
 }
 
-async fn ask(pool: &Pool, request: &LoanRequest) -> Result<LoanReply, String> {
-    let body = serde_json::to_vec(request).map_err(|error| error.to_string())?;
+async fn exchange<T: DeserializeOwned>(
+    pool: &Pool,
+    path: &str,
+    message: &impl Serialize,
+) -> Result<T, CallError> {
+    let unsent = |error: &dyn std::fmt::Display| CallError::Unsent(error.to_string());
+    let unanswered = |error: &dyn std::fmt::Display| CallError::Unanswered(error.to_string());
+    let body = serde_json::to_vec(message).map_err(|error| unsent(&error))?;
     let req = Request::builder()
         .method(Method::POST)
-        .uri("/loan")
+        .uri(path)
         .header(header::HOST, "entry")
         .body(Full::new(Bytes::from(body)))
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| unsent(&error))?;
     let mut conn = match pool.take_idle() {
         Some(conn) => conn,
-        None => pool.connect().await.map_err(|error| error.to_string())?,
+        None => pool.connect().await.map_err(|error| unsent(&error))?,
     };
-    let answer = conn.sender.send_request(req).await;
-    let (head, body) = answer.map_err(|error| error.to_string())?.into_parts();
+    let answer = conn.sender.try_send_request(req).await;
+    let answer = answer.map_err(|mut error| match error.take_message() {
+        Some(_) => unsent(error.error()),
+        None => unanswered(error.error()),
+    })?;
+    let (head, body) = answer.into_parts();
     let body = Limited::new(body, MAX_MESSAGE_BYTES).collect().await;
-    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    let body = body.map_err(|error| unanswered(&error))?.to_bytes();
     if head.status != StatusCode::OK {
-        return Err(head.status.to_string());
+        // The other entry refuses before it does anything.
+        return Err(unsent(&head.status));
     }
     pool.give_back(conn, None);
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+    serde_json::from_slice(&body).map_err(|error| unanswered(&error))
 }
 
-/// Answers another entry that asks for a loan.
-pub async fn lend<W>(state: &State<W>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+/// Answers another entry.
+pub async fn answer_entry<W>(state: &State<W>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = req.uri().path().to_string();
     let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES)
         .collect()
         .await;
-    let request = match body {
-        Ok(body) => serde_json::from_slice::<LoanRequest>(&body.to_bytes())
-            .map_err(|error| error.to_string()),
-        Err(error) => Err(error.to_string()),
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return refusal(&path, &error.to_string()),
     };
-    let (status, body) = match request {
-        Ok(request) => {
-            let tokens = state.wallet.borrow_mut().lend(&request, state.now());
-            spdlog::info!("loan", kv: {
-                account = request.account.as_str(),
-                least = request.least.get(),
-                want = request.want.get(),
-                tokens = tokens.get(),
-            });
-            let reply = serde_json::to_vec(&LoanReply { tokens }).unwrap_or_default();
-            (StatusCode::OK, reply)
-        }
-        Err(error) => {
-            spdlog::warn!("loan_not_read", kv: { error = error.as_str() });
-            (StatusCode::BAD_REQUEST, error.into_bytes())
+    match path.as_str() {
+        LOAN_PATH => match read(state, &body, |request: &LoanRequest| &request.key) {
+            Ok(request) => reply(&lend(state, &request).await),
+            Err(error) => refusal(&path, &error),
+        },
+        GIVE_BACK_PATH => match read(state, &body, |gift: &GiveBack| &gift.key) {
+            Ok(gift) => {
+                state.wallet.borrow_mut().take_back(&gift);
+                state.wallet_changed.notify_waiters();
+                reply(&())
+            }
+            Err(error) => refusal(&path, &error),
+        },
+        _ => refusal(&path, "no such path"),
+    }
+}
+
+/// Reads a message and checks that its sender knows this entry's key.
+fn read<W, T: DeserializeOwned>(
+    state: &State<W>,
+    body: &[u8],
+    key: impl Fn(&T) -> &SmolStr,
+) -> Result<T, String> {
+    let message: T = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    match state.peers.borrow().accepts(key(&message)) {
+        true => Ok(message),
+        false => Err("the key is not that of this entry".into()),
+    }
+}
+
+fn refusal(path: &str, error: &str) -> Response<Full<Bytes>> {
+    spdlog::warn!("entry_call_refused", kv: { path = path, error = error });
+    let mut response = Response::new(Full::new(Bytes::from(error.to_string())));
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
+
+fn reply(message: &impl Serialize) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(message) {
+        Ok(body) => Response::new(Full::new(Bytes::from(body))),
+        Err(error) => refusal("", &error.to_string()),
+    }
+}
+
+/// Lends tokens; a home, or who stands in for it, first draws them if it has too few. Who the home
+/// is depends on what the entry that asks knows of the others.
+async fn lend<W>(state: &State<W>, request: &LoanRequest) -> LoanReply {
+    let account = &request.account;
+    let until = Instant::now() + LEND_WAIT.duration();
+    if request.should_draw {
+        if state.role(account) == Role::Guest {
+            let now = state.now();
+            state.wallet.borrow_mut().stand_in(account, now);
         }
+        await_draw(state, request, until).await;
+    }
+    let now = state.now();
+    let mut wallet = state.wallet.borrow_mut();
+    let tokens = wallet.lend(request, now);
+    let short = (tokens < request.least).then(|| wallet.shortage(account, request.least, now));
+    drop(wallet);
+    state.draw_wanted.notify_one();
+    spdlog::info!("loan", kv: {
+        account = account.as_str(),
+        borrower = request.from.as_str(),
+        least = request.least.get(),
+        want = request.want.get(),
+        tokens = tokens.get(),
+        short = short.map(|short| format!("{short:?}")).unwrap_or_default(),
+    });
+    LoanReply { tokens, short }
+}
+
+/// Waits while a draw can bring what is asked for.
+async fn await_draw<W>(state: &State<W>, request: &LoanRequest, until: Instant) {
+    let account = &request.account;
+    let lacks = |now: Millis| {
+        let wallet = state.wallet.borrow();
+        let is_here = wallet.holding(account).0 >= request.least;
+        let helps = matches!(
+            wallet.shortage(account, request.least, now),
+            Short::Drawable | Short::Unknown
+        );
+        !is_here && helps && state.shares_failures.get() == 0
     };
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() = status;
-    response
+    if !lacks(state.now()) {
+        return;
+    }
+    state.wallet.borrow_mut().want(account, request.want);
+    loop {
+        let changed = state.wallet_changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        if !lacks(state.now()) {
+            break;
+        }
+        state.draw_wanted.notify_one();
+        if timeout_at(until, changed).await.is_err() {
+            break;
+        }
+    }
+    state.wallet.borrow_mut().unwant(account, request.want);
 }
--- a/crates/gateway/src/control/shares.rs
+++ b/crates/gateway/src/control/shares.rs
@@ -1,22 +1,24 @@
-//! Keeps the prepaid tokens of this entry: draws, returns and the sign that it runs.
+//! Keeps the prepaid tokens of this entry: draws and returns.
 
 use std::rc::Rc;
 
-use cyc_types::Millis;
+use cyc_types::{ClientAccountId, Millis};
+use futures::{StreamExt as _, stream};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::Pause;
 use crate::{
     port::{Store, StoreError, Wire, Written},
-    share::{Plan, Wallet},
+    share::{Plan, Role},
     state::State,
 };
 
 /// Time between looks at the wallet: draws are sized for seconds of use.
 const TICK: Millis = Millis::new(500);
-/// The shortest time between two writes, so that a burst of requests shares one.
+/// The shortest time between two rounds, so that a burst of requests shares one.
 const GAP: Millis = Millis::new(30);
-
+/// Records that are read and written at a time.
+const CONCURRENT: usize = 8;
 /// Tries to return tokens at a planned stop; others write the same record.
 const RETURN_TRIES: u32 = 8;
 
@@ -28,22 +30,15 @@
             // The stop returns the rest; a draw must not cross it.
             return;
         }
-        let result = step(&state, &*store).await;
+        let result = round(&state, &*store).await;
         match result {
-            Ok(is_done) => {
+            Ok(Round::Idle) => {}
+            Ok(Round::Done | Round::Conflicts) => {
                 let failures = pause.reset();
                 state.shares_failures.set(0);
                 if failures > 0 {
                     spdlog::info!("shares_reached", kv: { failures = failures });
                 }
-                if is_done {
-                    sleep(GAP.duration()).await;
-                    // A timeout is the usual tick.
-                    let wanted = state.draw_wanted.notified();
-                    timeout(TICK.saturating_sub(GAP).duration(), wanted)
-                        .await
-                        .ok();
-                }
             }
             Err(error) => {
                 let wait = pause.grow();
@@ -53,89 +48,146 @@
                     again_ms = wait.get(),
                 });
                 sleep(wait.duration()).await;
+                continue;
             }
         }
+        if result == Ok(Round::Conflicts) {
+            continue;
+        }
+        sleep(GAP.duration()).await;
+        // A timeout is the usual tick.
+        let wanted = state.draw_wanted.notified();
+        timeout(TICK.saturating_sub(GAP).duration(), wanted)
+            .await
+            .ok();
     }
 }
 
-/// Reads and writes the record if that is due. Returns false if another try should follow at
-/// once.
-async fn step<W: Wire, S: Store>(state: &State<W>, store: &S) -> Result<bool, StoreError> {
-    if !state.wallet.borrow().is_due(state.now()) {
-        return Ok(true);
+/// What a round of reads and writes came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Round {
+    /// Nothing was due.
+    Idle,
+    /// All that was due is done.
+    Done,
+    /// Another entry had written some record meanwhile.
+    Conflicts,
+}
+
+/// Reads and writes the records that are due. After a failure only one of them is tried, so that
+/// a store that is away is not asked for each account.
+async fn round<W: Wire, S: Store>(state: &State<W>, store: &S) -> Result<Round, StoreError> {
+    let role = |account: &ClientAccountId| state.role(account);
+    let mut due = state.wallet.borrow().due(role, state.now());
+    if due.is_empty() {
+        return Ok(Round::Idle);
+    }
+    if state.shares_failures.get() > 0 {
+        due.truncate(1);
     }
-    let (version, shares) = store.shares().await?;
-    let plan = {
+    let steps = due.iter().map(|account| step(state, store, account));
+    let done: Vec<Result<bool, StoreError>> = stream::iter(steps)
+        .buffer_unordered(CONCURRENT)
+        .collect()
+        .await;
+    let done: Result<Vec<bool>, StoreError> = done.into_iter().collect();
+    Ok(match done?.iter().all(|is_done| *is_done) {
+        true => Round::Done,
+        false => Round::Conflicts,
+    })
+}
+
+/// Reads and writes the record of an account as far as that is due. Returns false if another try
+/// should follow at once.
+async fn step<W: Wire, S: Store>(
+    state: &State<W>,
+    store: &S,
+    account: &ClientAccountId,
+) -> Result<bool, StoreError> {
+    let role = state.role(account);
+    let must_read = state.wallet.borrow().must_read(account, role, state.now());
+    if must_read {
+        let (version, record) = store.share(account).await?;
         let mut wallet = state.wallet.borrow_mut();
-        wallet.observe(version, shares, state.now());
-        wallet.plan(state.now())
-    };
+        wallet.observe(account, version, record, state.now());
+    }
+    let now = state.now();
+    let plan = state.wallet.borrow_mut().plan(account, role, now);
     state.wallet_changed.notify_waiters();
     let Some(plan) = plan else {
         return Ok(true);
     };
     let asked = Instant::now();
-    let written = store.write_shares(&plan).await;
+    let written = store.write_share(&plan).await;
     let mut wallet = state.wallet.borrow_mut();
     match &written {
-        Ok(Written::Done(version)) => wallet.written(*version, state.now()),
-        // The next read tells whether an earlier send of the plan was made.
-        Ok(Written::Conflict) => {}
-        Err(StoreError::Refused(_)) => wallet.refused(),
-        Err(_) => wallet.unanswered(),
+        Ok(Written::Done(version)) => wallet.written(account, *version, state.now()),
+        Ok(Written::Conflict(current)) => {
+            wallet.conflicted(account);
+            if let Some((version, record)) = current.clone() {
+                wallet.observe(account, Some(version), record, state.now());
+            }
+        }
+        Err(StoreError::Refused(_)) => wallet.refused(account),
+        Err(_) => wallet.unanswered(account),
     }
-    log(&wallet, state.now(), &plan, &written, asked);
     drop(wallet);
+    log(state, role, &plan, &written, asked);
     state.wallet_changed.notify_waiters();
-    written.map(|written| written != Written::Conflict)
+    written.map(|written| matches!(written, Written::Done(_)))
 }
 
-/// Returns all tokens that no request has reserved, at the end of a planned stop. Returns true
-/// if the record shows that.
+/// Returns all tokens that no request has reserved, at the end of a planned stop: to a home of
+/// each account, or to its record. Returns true if nothing is left.
 pub async fn return_shares<W: Wire, S: Store>(state: &State<W>, store: &S) -> bool {
     state.wallet.borrow_mut().close();
+    super::give_back(state).await;
     for _ in 0..RETURN_TRIES {
-        match step(state, store).await {
-            Ok(_) if state.wallet.borrow().is_returned() => return true,
-            Ok(_) => {}
-            Err(error) => {
-                spdlog::warn!("shares_not_returned", kv: {
-                    error = error.to_string(),
-                });
-                sleep(super::PAUSE_MIN.duration()).await;
-            }
+        let accounts = state.wallet.borrow().unreturned();
+        if accounts.is_empty() {
+            return true;
+        }
+        let steps = accounts.iter().map(|account| step(state, store, account));
+        let done: Vec<Result<bool, StoreError>> = stream::iter(steps)
+            .buffer_unordered(CONCURRENT)
+            .collect()
+            .await;
+        if let Some(error) = done.into_iter().find_map(Result::err) {
+            spdlog::warn!("shares_not_returned", kv: {
+                error = error.to_string(),
+            });
+            sleep(super::PAUSE_MIN.duration()).await;
         }
     }
-    false
+    state.wallet.borrow().unreturned().is_empty()
 }
 
-fn log(
-    wallet: &Wallet,
-    now: Millis,
+fn log<W>(
+    state: &State<W>,
+    role: Role,
     plan: &Plan,
     written: &Result<Written, StoreError>,
     asked: Instant,
 ) {
     let outcome = match written {
         Ok(Written::Done(_)) => "written".to_string(),
-        Ok(Written::Conflict) => "conflict".to_string(),
+        Ok(Written::Conflict(_)) => "conflict".to_string(),
         Err(error) => error.to_string(),
     };
-    let base = plan.base.map_or(0, |version| version.get());
-    let took_ms = asked.elapsed().as_millis() as u64;
-    for step in &plan.moves {
-        let total = plan.shares.drawn.get(&step.account);
-        let total = total.copied().unwrap_or_default();
-        spdlog::info!("prepaid_move", kv: {
-            account = step.account.as_str(),
-            drawn = step.drawn.get(),
-            returned = step.returned.get(),
-            drawn_by_all = total.get(),
-            paid = wallet.prepaid(&step.account).get(),
-            entries = wallet.entries(now),
-            base = base,
-            took_ms = took_ms,
-            outcome = outcome.as_str(),
-        });
-    }
+    let role = match role {
+        Role::Home => "home",
+        Role::Guest => "guest",
+    };
+    spdlog::info!("prepaid_move", kv: {
+        account = plan.account.as_str(),
+        role = role,
+        drawn = plan.drawn.get(),
+        returned = plan.returned.get(),
+        drawn_by_all = plan.record.drawn.get(),
+        paid = state.wallet.borrow().prepaid(&plan.account).get(),
+        entries = state.entries(),
+        base = plan.base.map_or(0, |version| version.get()),
+        took_ms = asked.elapsed().as_millis() as u64,
+        outcome = outcome.as_str(),
+    });
 }
--- /dev/null
+++ b/crates/gateway/src/control/signs.rs
@@ -0,0 +1,66 @@
+//! Writes this entry's sign and reads those of the others.
+
+use std::rc::Rc;
+
+use tokio::time::{sleep, timeout};
+
+use super::Pause;
+use crate::{
+    peers::{BEAT, SETTLE},
+    port::{Freshness, Store, StoreError, Wire},
+    state::State,
+};
+
+/// Follows the other entries until the process ends.
+pub async fn follow_entries<W: Wire, S: Store>(state: Rc<State<W>>, store: Rc<S>) {
+    let mut pause = Pause::default();
+    loop {
+        match beat(&state, &*store).await {
+            Ok(()) => {
+                let failures = pause.reset();
+                if failures > 0 {
+                    spdlog::info!("entries_followed", kv: { failures = failures });
+                }
+                let is_settled = state.peers.borrow().is_settled();
+                let wait = if is_settled { BEAT } else { SETTLE };
+                // A timeout is the usual beat.
+                timeout(wait.duration(), state.sign_wanted.notified())
+                    .await
+                    .ok();
+            }
+            Err(error) => {
+                let wait = pause.grow();
+                spdlog::warn!("entries_not_read", kv: {
+                    error = error.to_string(),
+                    again_ms = wait.get(),
+                });
+                sleep(wait.duration()).await;
+            }
+        }
+    }
+}
+
+/// Reads the signs and writes the own one. The first readings have to be fresh, since this
+/// entry's part of shared bounds depends on them; later ones may be some seconds old and cost
+/// little.
+async fn beat<W: Wire, S: Store>(state: &State<W>, store: &S) -> Result<(), StoreError> {
+    let freshness = match state.peers.borrow().is_settled() {
+        false => Freshness::Newest,
+        true => Freshness::SecondsOld,
+    };
+    let signs = store.signs(freshness).await?;
+    let (before, after) = {
+        let mut peers = state.peers.borrow_mut();
+        let before = peers.running();
+        peers.observe(signs, state.now());
+        let starts = peers.starts(state.now());
+        state.wallet.borrow_mut().set_starts(starts);
+        (before, peers.running())
+    };
+    if before != after {
+        spdlog::info!("entries", kv: { running = after, before = before });
+    }
+    let sign = state.peers.borrow_mut().beat();
+    let is_known = state.peers.borrow().is_settled();
+    store.write_sign(&sign, is_known).await
+}
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -2,16 +2,19 @@
 
 use std::rc::Rc;
 
-use cyc_types::{TargetId, Version};
+use cyc_types::{Millis, TargetId, Version};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{Pause, WATCH_WAIT};
 use crate::{
-    member::Outcome,
+    member::{Change, Outcome},
     port::{Store, StoreError, Wire},
     state::State,
 };
 
+/// Changes that come within this time are read with one call: each answer of the store has its
+/// price, and a target that leaves goes on for seconds.
+const GATHER: Millis = Millis::new(150);
 /// Failed calls in a row after which the store counts as having been away.
 const AWAY_FAILURES: u32 = 2;
 
@@ -43,24 +46,18 @@
                 if failures > 0 {
                     spdlog::info!("targets_followed", kv: { failures = failures });
                 }
-                let now = state.now();
                 if failures >= AWAY_FAILURES {
-                    state.members.borrow_mut().store_returned(now);
+                    state.members.borrow_mut().store_returned(state.now());
                 }
                 let is_list = since.is_none();
+                let has_changes = !changes.is_empty();
                 since = Some(version);
-                let mut members = state.members.borrow_mut();
-                let outcomes = if is_list {
-                    members.replace(changes, now)
-                } else {
-                    let apply = |change: crate::member::Change| {
-                        (change.id().clone(), members.apply(change, now))
-                    };
-                    changes.into_iter().map(apply).collect()
-                };
-                drop(members);
+                let outcomes = take(&state, changes, is_list);
                 note(&state, &outcomes, version);
                 state.members_known.set(true);
+                if has_changes {
+                    sleep(GATHER.duration()).await;
+                }
             }
             Err(error) => {
                 if error == StoreError::HistoryGone {
@@ -77,6 +74,17 @@
     }
 }
 
+/// Takes the whole list, or changes of it.
+fn take<W>(state: &State<W>, changes: Vec<Change>, is_list: bool) -> Vec<(TargetId, Outcome)> {
+    let now = state.now();
+    let mut members = state.members.borrow_mut();
+    if is_list {
+        return members.replace(changes, now);
+    }
+    let apply = |change: Change| (change.id().clone(), members.apply(change, now));
+    changes.into_iter().map(apply).collect()
+}
+
 fn expire<W>(state: &State<W>) {
     let gone = state.members.borrow_mut().expire(state.now());
     let gone: Vec<(TargetId, Outcome)> = gone.into_iter().map(|id| (id, Outcome::Gone)).collect();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -91,10 +91,11 @@
     if let Some(addr) = settings.peers {
         let peers = bind(addr).await?;
         if let Ok(addr) = peers.local_addr() {
-            state.wallet.borrow_mut().set_peers(addr);
+            state.peers.borrow_mut().set_addr(addr);
         }
         tokio::task::spawn_local(serve::serve_peers(state.clone(), peers));
         tokio::task::spawn_local(control::keep_loans(state.clone()));
+        tokio::task::spawn_local(control::keep_giving_back(state.clone()));
     }
     spdlog::info!("started", kv: {
         vm = settings.vm.as_str(),
@@ -107,6 +108,7 @@
     });
     tokio::task::spawn_local(control::follow_configuration(state.clone(), store.clone()));
     tokio::task::spawn_local(control::follow_targets(state.clone(), store.clone()));
+    tokio::task::spawn_local(control::follow_entries(state.clone(), store.clone()));
     tokio::task::spawn_local(control::keep_shares(state.clone(), store.clone()));
     tokio::task::spawn_local(follow_settings(state.clone(), reloads, reload));
     tokio::task::spawn_local(serve::serve_ready(state.clone(), ready));
@@ -163,6 +165,8 @@
 /// Stops taking new callers, and waits up to `grace` for the requests in flight.
 async fn stop<W: Wire>(state: &State<W>, grace: Millis) {
     spdlog::info!("stopping", kv: { in_flight = state.in_flight.get() });
+    state.peers.borrow_mut().leave();
+    state.sign_wanted.notify_one();
     let (since, until) = (state.now(), Instant::now() + grace.duration());
     let end = since + grace;
     state.stopping.send_replace(Some(Stop { since, end }));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! An entry that reaches its targets directly over HTTP.
 //!
 //! Decisions stand in modules without network: [`config`] selects the route and the account,
-//! [`member`] says which targets exist, [`share`] keeps the prepaid tokens of this entry,
+//! [`member`] says which targets exist, [`peers`] which entries run, [`share`] keeps the prepaid tokens of this entry,
 //! [`choose`] selects the target, [`repeat`] bounds what is sent a second time, [`event`] splits
 //! and checks event streams. [`proxy`] carries a request through them, [`control`] keeps the
 //! state, and [`port`] holds the traits behind which the wire and the store are spoken.
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod fleet;
 pub mod member;
+pub mod peers;
 pub mod port;
 pub mod proxy;
 pub mod repeat;
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -9,7 +9,8 @@
     config::Configuration,
     fleet::Load,
     member::Change,
-    share::{Plan, Shares},
+    peers::Sign,
+    share::{Plan, Record},
 };
 
 /// What is wrong with the head of a caller's request.
@@ -99,11 +100,21 @@
 pub enum Written {
     /// The record has this version now.
     Done(Version),
-    /// The record has another version, or it exists already; nothing was written.
-    Conflict,
+    /// The record has another version, or it exists already; nothing was written. The record as
+    /// it is, if the store has sent it.
+    Conflict(Option<(Version, Record)>),
 }
 
-/// The store: configuration, list of targets and the shared record of prepaid tokens.
+/// How old an answer of the store may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// It holds everything that was written before.
+    Newest,
+    /// It may lack the writes of the last seconds, and is cheaper.
+    SecondsOld,
+}
+
+/// The store: configuration, list of targets, entries and the records of prepaid tokens.
 #[allow(
     async_fn_in_trait,
     reason = "an entry runs on one thread, so futures need not be Send"
@@ -129,9 +140,19 @@
         wait: Millis,
     ) -> Result<(Vec<Change>, Version), StoreError>;
 
-    /// Reads the shared record; no version if there is none.
-    async fn shares(&self) -> Result<(Option<Version>, Shares), StoreError>;
+    /// Reads the record of an account's prepaid tokens; no version if there is none.
+    async fn share(
+        &self,
+        account: &ClientAccountId,
+    ) -> Result<(Option<Version>, Record), StoreError>;
+
+    /// Writes the record of an account if it has the version that the plan is based on.
+    async fn write_share(&self, plan: &Plan) -> Result<Written, StoreError>;
+
+    /// Reads the signs of all entries.
+    async fn signs(&self, freshness: Freshness) -> Result<Vec<Sign>, StoreError>;
 
-    /// Writes the shared record if it has the version that the plan is based on.
-    async fn write_shares(&self, plan: &Plan) -> Result<Written, StoreError>;
+    /// Writes the sign of this entry, whose only writer it is. `is_known` tells whether the store
+    /// had one when it was last read.
+    async fn write_sign(&self, sign: &Sign, is_known: bool) -> Result<(), StoreError>;
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -16,7 +16,7 @@
     call::Call,
     config::{Account, Configuration, Route},
     port::Wire,
-    share::{Reservation, Short},
+    share::{Reservation, Role, Short},
     state::State,
     stream,
 };
@@ -403,7 +403,8 @@
         };
         state.draw_wanted.notify_one();
         let failures = state.shares_failures.get();
-        if reason == Short::Elsewhere || failures > 0 || Instant::now() >= patient {
+        let is_guest = state.role(account) == Role::Guest;
+        if is_guest || reason == Short::Elsewhere || failures > 0 || Instant::now() >= patient {
             state.loan_wanted.notify_one();
         }
         let next = if Instant::now() < patient {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -120,7 +120,10 @@
 
 /// Serves other entries.
 pub async fn serve_peers<W: Wire>(state: Rc<State<W>>, listener: TcpListener) {
-    serve_plain(listener, async move |req| control::lend(&state, req).await).await;
+    serve_plain(listener, async move |req| {
+        control::answer_entry(&state, req).await
+    })
+    .await;
 }
 
 async fn serve_plain(
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -1,67 +1,49 @@
-//! Prepaid tokens: the record that all entries share, and what this entry holds of it.
+//! Prepaid tokens: the record of each account that entries share, and what this entry holds.
 //!
-//! An entry spends only tokens that it has drawn by a conditional write, so no account can use
-//! more than it has paid for, however entries are cut off or stopped. Tokens drawn by an entry
-//! that dies count as used: the size of a draw is what a kill can cost the account.
+//! An entry spends only tokens that were drawn by a conditional write, so no account can use more
+//! than it has paid for, however entries are cut off or stopped. Tokens at an entry that dies
+//! count as used: what entries hold is what a kill can cost the account.
+//!
+//! Few entries draw for an account, its homes; the others borrow from them. So the writes of a
+//! record grow with the use of the account and not with the number of entries.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::collections::BTreeMap;
 
-use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
+use cyc_types::{ClientAccountId, Millis, Tokens, VmId};
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
 
 mod loan;
 mod plan;
 mod purse;
 
-pub use loan::{LoanReply, LoanRequest};
-pub use plan::{HEARTBEAT, Move, Plan};
+pub use loan::{GiveBack, LoanReply, LoanRequest, Need};
+pub use plan::{Plan, REREAD, Role};
 pub use purse::COVER;
 use purse::Purse;
 
-/// An entry whose record has not changed for this long is not counted as running.
-pub const HOLDER_TIMEOUT: Millis = Millis::new(6_000);
-/// Records of entries that have not written for this long are removed.
-const HOLDER_PRUNE: Millis = Millis::new(30_000);
-
-/// What one entry last wrote of itself.
+/// What one entry last wrote of itself to a record.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
     /// Tells apart the starts of the entry.
     pub start: u64,
     /// Number of the last write of this start. It only grows.
     pub writes: u64,
-    /// Where other entries reach it.
-    #[serde(default)]
-    pub peers: Option<SocketAddr>,
-    /// Drawn tokens that were not used at that write; zero amounts are left out.
-    pub unspent: BTreeMap<ClientAccountId, Tokens>,
-    /// Tokens that it used in a second, by its own measure at that write; zeros are left out.
-    #[serde(default)]
-    pub rates: BTreeMap<ClientAccountId, Tokens>,
+    /// Drawn tokens that were not used at that write.
+    pub unspent: Tokens,
 }
 
-/// The record that all entries share.
+/// The record of an account that all entries share.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Shares {
-    /// Drawn at random by the first writer: entries show it to each other.
-    #[serde(default)]
-    pub key: SmolStr,
+pub struct Record {
     /// Tokens drawn by all entries, less what they returned. Invariant: at most the prepaid total.
-    pub drawn: BTreeMap<ClientAccountId, Tokens>,
+    pub drawn: Tokens,
     /// Tokens that were lost with entries that ended without returning them.
     #[serde(default)]
-    pub lost: BTreeMap<ClientAccountId, Tokens>,
-    /// The entries.
+    pub lost: Tokens,
+    /// The entries that have drawn and not returned everything.
     pub holders: BTreeMap<VmId, Holder>,
 }
 
-impl Shares {
-    pub(super) fn drawn(&self, account: &ClientAccountId) -> Tokens {
-        self.drawn.get(account).copied().unwrap_or_default()
-    }
-}
-
 /// Tokens reserved for one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reservation {
@@ -72,7 +54,7 @@
 }
 
 /// Why tokens were not reserved.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Short {
     /// What is left of the account, here and elsewhere, does not cover the request.
     Exhausted,
@@ -80,7 +62,7 @@
     Drawable,
     /// Tokens are left, but other entries hold them, or they are reserved here.
     Elsewhere,
-    /// The record has not been read since the account was configured.
+    /// Nothing is known of what is left.
     Unknown,
 }
 
@@ -88,20 +70,10 @@
 #[derive(Debug)]
 pub struct Wallet {
     me: VmId,
-    peers: Option<SocketAddr>,
     start: u64,
-    writes: u64,
     purses: BTreeMap<ClientAccountId, Purse>,
-    prepaid: BTreeMap<ClientAccountId, Tokens>,
-    seen: Option<(Option<Version>, Shares)>,
-    written: Option<Millis>,
-    /// Last change of each entry's record: its start, its writes and when that was seen.
-    changes: BTreeMap<VmId, (u64, u64, Millis)>,
-    /// The write whose outcome is not known. Invariant: no other write starts before it is.
-    pending: Option<Plan>,
-    /// A send of `pending` got no answer, so that it may be made as long as the record has the
-    /// version that it is based on.
-    is_unanswered: bool,
+    /// The start of each other entry, as far as known; `None` for one that has surely ended.
+    starts: BTreeMap<VmId, Option<u64>>,
     /// This entry stops and returns what it holds.
     is_closed: bool,
 }
@@ -111,41 +83,51 @@
     pub fn new(me: VmId, start: u64) -> Self {
         Self {
             me,
-            peers: None,
             start,
-            writes: 0,
             purses: BTreeMap::new(),
-            prepaid: BTreeMap::new(),
-            seen: None,
-            written: None,
-            changes: BTreeMap::new(),
-            pending: None,
-            is_unanswered: false,
+            starts: BTreeMap::new(),
             is_closed: false,
         }
     }
 
-    /// Sets where other entries reach this one.
-    pub fn set_peers(&mut self, addr: SocketAddr) {
-        self.peers = Some(addr);
-    }
-
     /// Takes the prepaid totals of the configuration in force.
     pub fn set_prepaid(&mut self, totals: impl IntoIterator<Item = (ClientAccountId, Tokens)>) {
-        self.prepaid = totals.into_iter().collect();
+        for purse in self.purses.values_mut() {
+            purse.paid = None;
+        }
+        for (account, paid) in totals {
+            let purse = self.purse(&account);
+            purse.paid = Some(paid);
+            purse.exhausted = None;
+        }
     }
 
-    /// Returns the prepaid total of an account.
-    pub fn prepaid(&self, account: &ClientAccountId) -> Tokens {
-        self.prepaid.get(account).copied().unwrap_or_default()
+    /// Takes what is known of the other entries: the start that runs, `None` for an entry that has
+    /// surely ended.
+    pub fn set_starts(&mut self, starts: BTreeMap<VmId, Option<u64>>) {
+        self.starts = starts;
     }
 
-    /// Returns the number of running entries, with this one.
-    pub fn entries(&self, now: Millis) -> usize {
-        let runs = |(vm, (_, _, at)): (&VmId, &(u64, u64, Millis))| {
-            *vm != self.me && now.saturating_sub(*at) <= HOLDER_TIMEOUT
-        };
-        1 + self.changes.iter().filter(|change| runs(*change)).count()
+    /// Returns true if what a holder has not returned is lost.
+    fn is_gone(&self, vm: &VmId, holder: &Holder) -> bool {
+        if *vm == self.me {
+            return holder.start != self.start;
+        }
+        let start = self.starts.get(vm);
+        start.is_some_and(|start| *start != Some(holder.start))
+    }
+
+    /// Returns what other entries have not used, by the record.
+    fn held_elsewhere(&self, record: &Record) -> Tokens {
+        let others = record.holders.iter();
+        let others = others.filter(|(vm, holder)| **vm != self.me && !self.is_gone(vm, holder));
+        others.map(|(_, holder)| holder.unspent).sum()
+    }
+
+    /// Returns the prepaid total of an account.
+    pub fn prepaid(&self, account: &ClientAccountId) -> Tokens {
+        let purse = self.purses.get(account);
+        purse.and_then(|purse| purse.paid).unwrap_or_default()
     }
 
     /// Returns free and reserved tokens of an account here.
@@ -155,6 +137,10 @@
             (purse.free, purse.reserved)
         })
     }
+
+    fn purse(&mut self, account: &ClientAccountId) -> &mut Purse {
+        self.purses.entry(account.clone()).or_default()
+    }
 }
 
 /// Requests.
@@ -169,7 +155,7 @@
         worst: Tokens,
         now: Millis,
     ) -> Result<Reservation, Short> {
-        let purse = self.purses.entry(account.clone()).or_default();
+        let purse = self.purse(account);
         if let Some(rest) = purse.free.checked_sub(worst) {
             purse.free = rest;
             purse.reserved += worst;
@@ -178,12 +164,13 @@
                 tokens: worst,
             });
         }
+        purse.short = Some(now);
         Err(self.shortage(account, worst, now))
     }
 
     /// Notes that a target uses `tokens` of a reservation, or that it turned out not to.
     pub fn set_running(&mut self, reservation: &Reservation, tokens: Tokens, is_running: bool) {
-        let purse = self.purses.entry(reservation.account.clone()).or_default();
+        let purse = self.purse(&reservation.account);
         purse.running = match is_running {
             true => purse.running + tokens,
             false => purse.running.saturating_sub(tokens),
@@ -192,7 +179,7 @@
 
     /// Ends a reservation of which `used` was used; the rest is free again.
     pub fn settle(&mut self, reservation: &Reservation, used: Tokens, now: Millis) {
-        let purse = self.purses.entry(reservation.account.clone()).or_default();
+        let purse = self.purse(&reservation.account);
         purse.note_size(reservation.tokens, now);
         let used = used.min(reservation.tokens);
         purse.reserved = purse.reserved.saturating_sub(reservation.tokens);
@@ -202,13 +189,12 @@
 
     /// Notes that a request waits for `worst` tokens.
     pub fn want(&mut self, account: &ClientAccountId, worst: Tokens) {
-        let purse = self.purses.entry(account.clone()).or_default();
-        purse.waiting.push(worst);
+        self.purse(account).waiting.push(worst);
     }
 
     /// Notes that such a request waits no longer.
     pub fn unwant(&mut self, account: &ClientAccountId, worst: Tokens) {
-        let purse = self.purses.entry(account.clone()).or_default();
+        let purse = self.purse(account);
         if let Some(index) = purse.waiting.iter().position(|waiting| *waiting == worst) {
             purse.waiting.swap_remove(index);
         }
@@ -219,28 +205,32 @@
         self.is_closed = true;
     }
 
-    /// Returns true if nothing is left to return.
-    pub fn is_returned(&self) -> bool {
-        self.pending.is_none() && self.purses.values().all(|purse| purse.free.is_zero())
+    /// Returns the accounts of which something is still to be returned.
+    pub fn unreturned(&self) -> Vec<ClientAccountId> {
+        let holds = |purse: &Purse| purse.pending.is_some() || !purse.free.is_zero();
+        let purses = self.purses.iter().filter(|(_, purse)| holds(purse));
+        purses.map(|(account, _)| account.clone()).collect()
     }
 
-    fn shortage(&self, account: &ClientAccountId, worst: Tokens, now: Millis) -> Short {
-        let (Some((_, shares)), Some(paid)) = (&self.seen, self.prepaid.get(account)) else {
+    /// Returns why `worst` tokens are not here.
+    pub fn shortage(&self, account: &ClientAccountId, worst: Tokens, now: Millis) -> Short {
+        let Some(purse) = self.purses.get(account) else {
             return Short::Unknown;
         };
-        let left = paid.saturating_sub(shares.drawn(account));
-        let purse = self.purses.get(account);
-        let free = purse.map_or(Tokens::ZERO, |purse| purse.free);
-        let here = purse.map_or(Tokens::ZERO, Purse::unspent);
-        if left + free >= worst {
+        let told = purse.exhausted;
+        if told.is_some_and(|(least, until)| now < until && worst >= least) {
+            return Short::Exhausted;
+        }
+        let (Some((_, record)), Some(paid)) = (&purse.seen, purse.paid) else {
+            return Short::Unknown;
+        };
+        let left = paid.saturating_sub(record.drawn);
+        if left + purse.free >= worst {
             return Short::Drawable;
         }
-        let others = shares.holders.iter().filter(|(vm, _)| **vm != self.me);
-        let unspent = others.filter_map(|(_, holder)| holder.unspent.get(account).copied());
-        let lent = self.purses.get(account);
-        let lent = lent.map_or(Tokens::ZERO, |purse| purse.lent.counted(now));
-        let elsewhere = unspent.sum::<Tokens>() + lent;
-        if left + here + elsewhere >= worst {
+        let elsewhere = self.held_elsewhere(record) + purse.lent_out(now);
+        let is_recent = now.saturating_sub(purse.read) <= REREAD;
+        if left + purse.unspent() + elsewhere >= worst || !is_recent {
             Short::Elsewhere
         } else {
             Short::Exhausted
--- a/crates/gateway/src/share/loan.rs
+++ b/crates/gateway/src/share/loan.rs
@@ -1,34 +1,57 @@
-//! Loans between entries, for requests that wait here while another entry holds tokens.
+//! Loans between entries: from the homes of an account to the others, and between all of them
+//! while the store is away.
 //!
 //! Whoever sends tokens debits them first: a lost answer costs the account the loan and never
 //! lets it use more than it paid.
 
-use std::net::SocketAddr;
-
-use cyc_types::{ClientAccountId, Millis, Tokens};
+use cyc_types::{ClientAccountId, Millis, Tokens, VmId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{Purse, Wallet};
+use super::{Purse, Role, Short, Wallet};
 
 /// A loan covers this much further use at the borrower, so that later requests need not ask again.
 const LOAN_COVER: Millis = Millis::new(2_000);
+/// An entry that is no home gives back what its use in this time will not need.
+const GUEST_COVER: Millis = Millis::new(4_000);
+/// Less than this part of the prepaid total is not worth a message.
+const GIVE_BACK_PART: u64 = 2_000;
 /// A loan below this part of the least that helps is not worth a message.
 const WORTH_PART: u64 = 8;
-/// How long a loan is counted as held elsewhere: until the borrower has written its record.
-const LENT_FOR: Millis = Millis::new(10_000);
+/// Time constant in which borrowers use a loan up: it covers [`LOAN_COVER`].
+const LENT_SPAN: Millis = LOAN_COVER;
+/// How long an entry draws in place of a home that cannot.
+const STAND_IN_FOR: Millis = Millis::new(3_000);
+/// How long it is believed that an account is used up, after a home said so.
+const EXHAUSTED_FOR: Millis = Millis::new(1_000);
+
+/// What requests that wait here need of an account.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Need {
+    /// The account.
+    pub account: ClientAccountId,
+    /// The least that helps: what the smallest waiting request lacks.
+    pub least: Tokens,
+    /// What is asked for.
+    pub want: Tokens,
+}
 
 /// What one entry asks of another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoanRequest {
-    /// The key in the shared record, which only entries can read.
+    /// The key of the entry that is asked, which only entries can read.
     pub key: SmolStr,
+    /// The entry that asks.
+    pub from: VmId,
     /// The account.
     pub account: ClientAccountId,
-    /// The least that helps: what the smallest waiting request can cost.
+    /// The least that helps.
     pub least: Tokens,
     /// What is asked for.
     pub want: Tokens,
+    /// The entry that asks takes the other one for the account's home, or for who stands in for
+    /// it: it should draw if it has too few.
+    pub should_draw: bool,
 }
 
 /// The answer to a [`LoanRequest`].
@@ -36,9 +59,24 @@
 pub struct LoanReply {
     /// The tokens lent; the lender has debited them.
     pub tokens: Tokens,
+    /// Why it is not more, if that does not help.
+    pub short: Option<Short>,
 }
 
-/// Tokens lent, until the borrower's record can show them.
+/// Tokens that an entry hands over without being asked; it has debited them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GiveBack {
+    /// The key of the entry that gets them.
+    pub key: SmolStr,
+    /// The entry that gives them.
+    pub from: VmId,
+    /// The account.
+    pub account: ClientAccountId,
+    /// The tokens.
+    pub tokens: Tokens,
+}
+
+/// Tokens lent to one entry.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Lent {
     tokens: Tokens,
@@ -46,21 +84,20 @@
 }
 
 impl Lent {
-    pub(super) fn counted(&self, now: Millis) -> Tokens {
-        if now.saturating_sub(self.at) <= LENT_FOR {
-            self.tokens
-        } else {
-            Tokens::ZERO
-        }
-    }
-
-    fn add(&mut self, tokens: Tokens, now: Millis) {
-        self.tokens = self.counted(now) + tokens;
-        self.at = now;
+    /// Returns what the borrower has probably not used yet.
+    fn counted(&self, now: Millis) -> Tokens {
+        let age = now.saturating_sub(self.at).get() as f64;
+        let part = (-age / LENT_SPAN.get() as f64).exp();
+        Tokens::new((self.tokens.get() as f64 * part) as u64)
     }
 }
 
 impl Purse {
+    /// Returns what other entries may still hold of loans from here.
+    pub(super) fn lent_out(&self, now: Millis) -> Tokens {
+        self.lent.values().map(|lent| lent.counted(now)).sum()
+    }
+
     /// Returns what is of no use here, for a borrower that lacks `least`. Where the waiting
     /// requests of both lack tokens, the one that lacks fewer gets them, so that remainders meet
     /// at one entry.
@@ -73,58 +110,54 @@
             self.free.saturating_sub(self.wanted())
         }
     }
+
+    fn need(&self, account: &ClientAccountId, now: Millis) -> Option<Need> {
+        let least = self.waiting.iter().min()?.saturating_sub(self.free);
+        let lack = self.wanted().saturating_sub(self.free);
+        let ahead = self.rate(now) * LOAN_COVER.get() as f64 / 1_000.0;
+        (!lack.is_zero()).then(|| Need {
+            account: account.clone(),
+            least,
+            want: lack + Tokens::new(ahead as u64),
+        })
+    }
 }
 
+/// Loans.
 impl Wallet {
-    /// Returns the loans that waiting requests need.
-    pub fn loan_requests(&self, now: Millis) -> Vec<LoanRequest> {
-        let Some((_, shares)) = &self.seen else {
-            return Vec::new();
-        };
-        let wanting = self
-            .purses
-            .iter()
-            .filter(|(_, purse)| purse.free < purse.wanted());
-        let request = |(account, purse): (&ClientAccountId, &Purse)| {
-            let least = purse.waiting.iter().min()?;
-            let ahead = purse.rate(now) * LOAN_COVER.get() as f64 / 1_000.0;
-            Some(LoanRequest {
-                key: shares.key.clone(),
-                account: account.clone(),
-                least: least.saturating_sub(purse.free),
-                want: purse.wanted().saturating_sub(purse.free) + Tokens::new(ahead as u64),
-            })
-        };
-        wanting.filter_map(request).collect()
+    /// Returns what waiting requests need.
+    pub fn needs(&self, now: Millis) -> Vec<Need> {
+        let purses = self.purses.iter();
+        let needs = purses.filter_map(|(account, purse)| purse.need(account, now));
+        needs.collect()
+    }
+
+    /// Returns what waiting requests of one account need, if anything.
+    pub fn need(&self, account: &ClientAccountId, now: Millis) -> Option<Need> {
+        self.purses.get(account)?.need(account, now)
     }
 
-    /// Returns the running entries that held tokens of an account when they last wrote, those
-    /// with most first.
-    pub fn lenders(&self, account: &ClientAccountId, now: Millis) -> Vec<SocketAddr> {
-        let Some((_, shares)) = &self.seen else {
+    /// Returns the entries that may hold tokens of an account, those with most first: holders by
+    /// the record, and borrowers of this entry.
+    pub fn lenders(&self, account: &ClientAccountId, now: Millis) -> Vec<VmId> {
+        let Some(purse) = self.purses.get(account) else {
             return Vec::new();
         };
-        let others = shares.holders.iter().filter(|(vm, _)| **vm != self.me);
-        let known = others.filter_map(|(vm, holder)| {
-            let unspent = holder.unspent.get(account)?;
-            let change = self.changes.get(vm)?;
-            let is_recent = now.saturating_sub(change.2) <= super::HOLDER_PRUNE;
-            is_recent.then_some((*unspent, holder.peers?))
-        });
-        let mut known: Vec<(Tokens, SocketAddr)> = known.collect();
-        known.sort_by_key(|(unspent, _)| std::cmp::Reverse(*unspent));
-        known.into_iter().map(|(_, addr)| addr).collect()
+        let holders = purse.seen.iter().flat_map(|(_, record)| &record.holders);
+        let holders = holders.map(|(vm, holder)| (vm, holder.unspent));
+        let borrowers = purse.lent.iter().map(|(vm, lent)| (vm, lent.counted(now)));
+        let others = holders.chain(borrowers).filter(|(vm, _)| **vm != self.me);
+        let mut others: Vec<(&VmId, Tokens)> =
+            others.filter(|(_, tokens)| !tokens.is_zero()).collect();
+        others.sort_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
+        others.into_iter().map(|(vm, _)| vm.clone()).collect()
     }
 
     /// Debits a loan and returns it: up to half of what is free here, or, where that does not
     /// help, all that is of no use here. A part of the least that helps is lent too, as
     /// long as it is worth a message: the borrower asks several entries.
     pub fn lend(&mut self, request: &LoanRequest, now: Millis) -> Tokens {
-        let is_known = self
-            .seen
-            .as_ref()
-            .is_some_and(|(_, shares)| shares.key == request.key);
-        let Some(purse) = self.purses.get_mut(&request.account).filter(|_| is_known) else {
+        let Some(purse) = self.purses.get_mut(&request.account) else {
             return Tokens::ZERO;
         };
         let half = Tokens::new(purse.free.get() / 2);
@@ -138,20 +171,63 @@
             return Tokens::ZERO;
         }
         purse.free = purse.free.saturating_sub(given);
-        purse.lent.add(given, now);
+        let lent = purse.lent.entry(request.from.clone()).or_default();
+        lent.tokens = lent.counted(now) + given;
+        lent.at = now;
+        // What is lent is used, as far as draws are concerned.
+        purse.note_use(given, now);
         given
     }
 
     /// Adds a loan that was received.
     pub fn borrow(&mut self, account: &ClientAccountId, tokens: Tokens) {
-        self.purses.entry(account.clone()).or_default().free += tokens;
+        self.purse(account).free += tokens;
     }
 
-    /// Returns what a loan still has to bring after tokens came, if anything.
-    pub fn rest_of(&self, request: &LoanRequest, now: Millis) -> Option<LoanRequest> {
-        let requests = self.loan_requests(now);
-        requests
-            .into_iter()
-            .find(|rest| rest.account == request.account)
+    /// Adds tokens that another entry handed over.
+    pub fn take_back(&mut self, gift: &GiveBack) {
+        let purse = self.purse(&gift.account);
+        purse.free += gift.tokens;
+        if let Some(lent) = purse.lent.get_mut(&gift.from) {
+            lent.tokens = lent.tokens.saturating_sub(gift.tokens);
+        }
+    }
+
+    /// Notes that the account is used up, by its home.
+    pub fn note_exhausted(&mut self, need: &Need, now: Millis) {
+        let purse = self.purse(&need.account);
+        let worst = need.least + purse.free;
+        purse.exhausted = Some((worst, now + EXHAUSTED_FOR));
+    }
+
+    /// Lets this entry draw in place of the account's home for a while.
+    pub fn stand_in(&mut self, account: &ClientAccountId, now: Millis) {
+        self.purse(account).stands_in = Some(now + STAND_IN_FOR);
+    }
+
+    /// Debits and returns what an entry that is no home does not need any more, by account.
+    pub fn give_back(
+        &mut self,
+        role: impl Fn(&ClientAccountId) -> Role,
+        now: Millis,
+    ) -> Vec<(ClientAccountId, Tokens)> {
+        let mut given = Vec::new();
+        for (account, purse) in &mut self.purses {
+            if purse.free.is_zero() || purse.pending.is_some() || role(account) != Role::Guest {
+                continue;
+            }
+            let ahead = purse.rate(now) * GUEST_COVER.get() as f64 / 1_000.0;
+            let needed = purse.wanted() + Tokens::new(ahead as u64);
+            let surplus = match self.is_closed {
+                true => purse.free,
+                false => purse.free.saturating_sub(needed),
+            };
+            let paid = purse.paid.unwrap_or_default();
+            if self.is_closed || surplus.get() > paid.get() / GIVE_BACK_PART {
+                purse.free = purse.free.saturating_sub(surplus);
+                given.push((account.clone(), surplus));
+            }
+        }
+        given
     }
 }
--- a/crates/gateway/src/share/plan.rs
+++ b/crates/gateway/src/share/plan.rs
@@ -1,282 +1,317 @@
-//! Writes of the shared record: what to draw and to return, and what came of a write.
-
-use std::collections::BTreeMap;
+//! Writes of an account's record: what to draw and to return, and what came of a write.
 
 use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
 
-use super::{HOLDER_PRUNE, Holder, Purse, Shares, Wallet};
+use super::{COVER, Holder, Purse, Record, Wallet};
 
-/// All entries together keep at most this part of what an account has left, in percent, so that
-/// a request finds tokens at any entry and a kill of all entries leaves some.
+/// A home keeps at most this part of what an account has left, in percent, so that requests find
+/// tokens while the store is away and a kill leaves most.
 const HELD_PERCENT: u64 = 15;
-/// What an account may lose by kills before entries hold less of it, in percent of what it paid.
+/// What an account may lose by kills before its home keeps less of it, in percent of what it paid.
 const LOSS_PERCENT: u64 = 12;
-/// After that all entries together hold this part of what is left, in percent.
+/// After that a home keeps this part of what is left, in percent.
 const CAREFUL_PERCENT: u64 = 3;
-/// The smallest part of an account that an entry may hold, relative to an even part.
-const MIN_PART: f64 = 0.25;
+/// A home draws when less than this part of what it should keep is free, in percent.
+const REFILL_PERCENT: u64 = 75;
 /// The first draw without a measured rate, as a part of the prepaid total.
 const FIRST_PART: u64 = 150;
 /// A surplus below this part of the prepaid total is not worth a write of its own.
 const SURPLUS_PART: u64 = 100;
-/// Each entry writes at least this often, so that others can count it.
-pub const HEARTBEAT: Millis = Millis::new(2_000);
+/// A draw of an entry that stands in for the home covers this much further use.
+const STAND_IN_COVER: Millis = Millis::new(2_000);
+/// While less than this part of the prepaid total is left in the record, in percent, entries
+/// correct there what they hold, so that others can tell when the account is used up.
+const SCARCE_PERCENT: u64 = 5;
+/// An entry corrects its part of the record at most this often.
+const CORRECT_AFTER: Millis = Millis::new(1_000);
+/// A record is read again after this long while it decides that requests are refused.
+pub const REREAD: Millis = Millis::new(2_000);
+
+/// What this entry does for an account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It draws ahead.
+    Home,
+    /// It borrows from the home, and draws only if it has to stand in for it.
+    Guest,
+}
 
-/// One account's part of a [`Plan`].
+/// A write of an account's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Move {
+pub struct Plan {
     /// The account.
     pub account: ClientAccountId,
+    /// The version that the record must have; `None` if it must not exist.
+    pub base: Option<Version>,
+    /// The record to be written.
+    pub record: Record,
     /// Tokens that the write draws.
     pub drawn: Tokens,
     /// Tokens that the write returns; they cannot be used from the making of the plan on.
     pub returned: Tokens,
 }
 
-/// A write of the shared record.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Plan {
-    /// The version that the record must have; `None` if it must not exist.
-    pub base: Option<Version>,
-    /// The record to be written.
-    pub shares: Shares,
-    /// What the write moves.
-    pub moves: Vec<Move>,
+/// What a write moves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Move {
+    drawn: Tokens,
+    returned: Tokens,
+}
+
+impl Move {
+    fn is_empty(self) -> bool {
+        self.drawn.is_zero() && self.returned.is_zero()
+    }
 }
 
-/// Returns what all entries together should hold of an account that has `total` left, whoever
-/// holds it. Less once kills have cost the account its share of losses.
-fn held_by_all(shares: &Shares, account: &ClientAccountId, paid: Tokens, total: Tokens) -> u64 {
-    let lost = shares.lost.get(account).copied().unwrap_or_default();
-    let may_lose = (paid.get() * LOSS_PERCENT / 100).saturating_sub(lost.get());
+/// Returns what a home may keep of an account that has `total` left, whoever holds it. Less once
+/// kills have cost the account its share of losses.
+fn most_held(record: &Record, paid: Tokens, total: Tokens) -> u64 {
+    let may_lose = (paid.get() * LOSS_PERCENT / 100).saturating_sub(record.lost.get());
     let careful = total.get() * CAREFUL_PERCENT / 100;
     (total.get() * HELD_PERCENT / 100).min(may_lose.max(careful))
 }
 
-/// Writes of the shared record.
+/// Writes of the records.
 impl Wallet {
-    /// Takes the record as read, and settles a write of unknown outcome by it.
-    pub fn observe(&mut self, version: Option<Version>, shares: Shares, now: Millis) {
-        for (vm, holder) in &shares.holders {
-            let mark = (holder.start, holder.writes);
-            let known = self.changes.get(vm).map(|known| (known.0, known.1));
-            if known != Some(mark) {
-                self.changes.insert(vm.clone(), (mark.0, mark.1, now));
-            }
-        }
-        if let Some(plan) = &self.pending {
-            let mine = shares.holders.get(&self.me);
-            let landed =
-                mine.is_some_and(|mine| mine.start == self.start && mine.writes == self.writes);
-            if landed {
-                self.finish(true);
-            } else if plan.base != version {
-                self.finish(false);
-            }
-        }
-        self.seen = Some((version, shares));
+    /// Returns the accounts of which a record has to be read or written. `role` tells what this
+    /// entry does for an account.
+    pub fn due(
+        &self,
+        role: impl Fn(&ClientAccountId) -> Role,
+        now: Millis,
+    ) -> Vec<ClientAccountId> {
+        let is_due = |account: &ClientAccountId, purse: &Purse| {
+            let role = role(account);
+            purse.pending.is_some()
+                || self.needs_read(purse, role, now)
+                || self.next_move(purse, role, now).is_some()
+        };
+        let due = self
+            .purses
+            .iter()
+            .filter(|(account, purse)| is_due(account, purse));
+        due.map(|(account, _)| account.clone()).collect()
     }
 
-    /// Returns true if a write is due, as far as the record is known.
-    pub fn is_due(&self, now: Millis) -> bool {
-        let moves = |(_, shares): &(Option<Version>, Shares)| !self.moves(shares, now).is_empty();
-        self.pending.is_some()
-            || self.is_heartbeat_due(now)
-            || self
-                .purses
-                .values()
-                .any(|purse| purse.free < purse.wanted())
-            || self.seen.as_ref().is_none_or(moves)
+    /// Returns true if the record has to be read before anything can be decided.
+    pub fn must_read(&self, account: &ClientAccountId, role: Role, now: Millis) -> bool {
+        let purse = self.purses.get(account);
+        purse.is_some_and(|purse| purse.is_unanswered || self.needs_read(purse, role, now))
     }
 
-    fn is_heartbeat_due(&self, now: Millis) -> bool {
-        let written = self.written;
-        written.is_none_or(|at| now.saturating_sub(at) >= HEARTBEAT)
+    fn needs_read(&self, purse: &Purse, role: Role, now: Millis) -> bool {
+        if self.is_closed {
+            return (purse.seen.is_none() || purse.is_outdated) && !purse.free.is_zero();
+        }
+        if !purse.draws(role, now) {
+            return false;
+        }
+        let is_old = now.saturating_sub(purse.read) >= REREAD;
+        let is_short = purse.short.is_some_and(|at| at >= purse.read);
+        purse.seen.is_none() || purse.is_outdated || (is_short && is_old)
     }
 
-    fn moves(&self, shares: &Shares, now: Millis) -> Vec<Move> {
-        let accounts = self.prepaid.keys();
-        accounts
-            .filter_map(|account| self.plan_move(shares, account.clone(), now))
-            .collect()
+    /// Takes a record as read, and settles a write of unknown outcome by it.
+    pub fn observe(
+        &mut self,
+        account: &ClientAccountId,
+        version: Option<Version>,
+        record: Record,
+        now: Millis,
+    ) {
+        let (me, start) = (self.me.clone(), self.start);
+        let purse = self.purse(account);
+        if let Some(plan) = &purse.pending {
+            let mine = record.holders.get(&me);
+            let landed =
+                mine.is_some_and(|mine| mine.start == start && mine.writes == purse.writes);
+            if landed {
+                purse.finish(true);
+            } else if plan.base != version {
+                purse.finish(false);
+            }
+        }
+        purse.seen = Some((version, record));
+        purse.read = now;
+        purse.is_outdated = false;
     }
 
     /// Returns the write that is due: the one of unknown outcome again, or a new one.
-    pub fn plan(&mut self, now: Millis) -> Option<Plan> {
-        if let Some(pending) = &self.pending {
+    pub fn plan(&mut self, account: &ClientAccountId, role: Role, now: Millis) -> Option<Plan> {
+        let purse = self.purses.get(account)?;
+        if let Some(pending) = &purse.pending {
             return Some(pending.clone());
         }
-        let (base, shares) = self.seen.clone()?;
-        let moves = self.moves(&shares, now);
-        if moves.is_empty() && !self.is_heartbeat_due(now) {
-            return None;
-        }
-        self.writes += 1;
-        let shares = self.next_shares(shares, &moves, now);
-        for step in &moves {
-            let purse = self.purses.entry(step.account.clone()).or_default();
-            purse.free = purse.free.saturating_sub(step.returned);
-        }
+        let step = self.next_move(purse, role, now)?;
+        let (base, record) = purse.seen.clone()?;
+        let record = self.without_gone(record);
+        let me = self.me.clone();
+        let start = self.start;
+        let purse = self.purse(account);
+        purse.writes += 1;
+        let mine = Holder {
+            start,
+            writes: purse.writes,
+            unspent: (purse.unspent() + step.drawn).saturating_sub(step.returned),
+        };
+        purse.free = purse.free.saturating_sub(step.returned);
         let plan = Plan {
+            account: account.clone(),
             base,
-            shares,
-            moves,
+            record: next_record(record, &me, mine, step),
+            drawn: step.drawn,
+            returned: step.returned,
         };
-        self.pending = Some(plan.clone());
+        purse.pending = Some(plan.clone());
         Some(plan)
     }
 
     /// Notes that the planned write was made and gave the record `version`.
-    pub fn written(&mut self, version: Version, now: Millis) {
-        if let Some(plan) = &self.pending {
-            self.seen = Some((Some(version), plan.shares.clone()));
+    pub fn written(&mut self, account: &ClientAccountId, version: Version, now: Millis) {
+        let purse = self.purse(account);
+        if let Some(plan) = &purse.pending {
+            purse.seen = Some((Some(version), plan.record.clone()));
+            purse.read = now;
+            purse.wrote = now;
+        }
+        purse.finish(true);
+    }
+
+    /// Notes that a send of the planned write met another version of the record. The next read
+    /// tells whether an earlier send of it was made.
+    pub fn conflicted(&mut self, account: &ClientAccountId) {
+        let purse = self.purse(account);
+        purse.is_outdated = true;
+        if !purse.is_unanswered {
+            purse.finish(false);
         }
-        self.written = Some(now);
-        self.finish(true);
     }
 
     /// Notes that a send of the planned write was refused without effect.
-    pub fn refused(&mut self) {
-        if !self.is_unanswered {
-            self.finish(false);
+    pub fn refused(&mut self, account: &ClientAccountId) {
+        let purse = self.purse(account);
+        if !purse.is_unanswered {
+            purse.finish(false);
         }
     }
 
     /// Notes that a send of the planned write got no answer: it may be made, now or later.
-    pub fn unanswered(&mut self) {
-        self.is_unanswered = self.pending.is_some();
+    pub fn unanswered(&mut self, account: &ClientAccountId) {
+        let purse = self.purse(account);
+        purse.is_unanswered = purse.pending.is_some();
     }
 
-    fn finish(&mut self, is_done: bool) {
-        let Some(plan) = self.pending.take() else {
-            return;
+    /// Counts what holders that have ended did not return as lost.
+    fn without_gone(&self, mut record: Record) -> Record {
+        let gone = record.holders.iter();
+        let gone = gone.filter(|(vm, holder)| self.is_gone(vm, holder));
+        let lost: Tokens = gone.map(|(_, holder)| holder.unspent).sum();
+        record.lost += lost;
+        record
+            .holders
+            .retain(|vm, holder| !self.is_gone(vm, holder));
+        record
+    }
+
+    fn next_move(&self, purse: &Purse, role: Role, now: Millis) -> Option<Move> {
+        let (_, record) = purse.seen.as_ref()?;
+        let paid = purse.paid.unwrap_or_default();
+        let step = if self.is_closed {
+            Move {
+                returned: purse.free,
+                ..Move::default()
+            }
+        } else {
+            match role {
+                Role::Home => self.home_move(purse, record, now),
+                Role::Guest if purse.draws(role, now) => {
+                    let ahead = purse.rate(now) * STAND_IN_COVER.get() as f64 / 1_000.0;
+                    let lack = purse.wanted().saturating_sub(purse.free);
+                    let drawn = match lack.is_zero() {
+                        true => Tokens::ZERO,
+                        false => lack + Tokens::new(ahead as u64),
+                    };
+                    Move {
+                        drawn: drawn.min(paid.saturating_sub(record.drawn)),
+                        returned: Tokens::ZERO,
+                    }
+                }
+                Role::Guest => Move::default(),
+            }
         };
-        self.is_unanswered = false;
-        for step in plan.moves {
-            let purse = self.purses.entry(step.account).or_default();
-            purse.free += if is_done { step.drawn } else { step.returned };
-        }
+        (!step.is_empty() || self.is_correction_due(purse, record, now)).then_some(step)
+    }
+
+    /// Returns true if the record of an account that is nearly used up says that much more is
+    /// held here than there is.
+    fn is_correction_due(&self, purse: &Purse, record: &Record, now: Millis) -> bool {
+        let paid = purse.paid.unwrap_or_default().get();
+        let left = paid.saturating_sub(record.drawn.get());
+        let mine = record.holders.get(&self.me);
+        let told = mine.filter(|mine| mine.start == self.start);
+        let told = told.map_or(Tokens::ZERO, |mine| mine.unspent);
+        let is_wrong = told.saturating_sub(purse.unspent()).get() > paid / SURPLUS_PART;
+        let is_old = now.saturating_sub(purse.wrote) >= CORRECT_AFTER;
+        is_wrong && is_old && left < paid * SCARCE_PERCENT / 100
     }
 
-    fn plan_move(&self, shares: &Shares, account: ClientAccountId, now: Millis) -> Option<Move> {
-        let paid = *self.prepaid.get(&account)?;
-        let left = paid.saturating_sub(shares.drawn(&account));
-        let purse = self.purses.get(&account).cloned().unwrap_or_default();
-        let keep = self.keep(shares, &account, paid, now);
+    fn home_move(&self, purse: &Purse, record: &Record, now: Millis) -> Move {
+        let Some(paid) = purse.paid else {
+            return Move::default();
+        };
+        let keep = self.keep(purse, record, paid, now);
         let wanted = purse.wanted() + keep;
-        let is_low = purse.free < purse.wanted() || purse.free.get() < keep.get() * 3 / 4;
-        if is_low && !self.is_closed {
+        let is_low =
+            purse.free < purse.wanted() || purse.free.get() < keep.get() * REFILL_PERCENT / 100;
+        if is_low {
             let lack = wanted.saturating_sub(purse.free);
-            let drawn = lack.min(left);
-            return (!drawn.is_zero()).then_some(Move {
-                account,
-                drawn,
+            return Move {
+                drawn: lack.min(paid.saturating_sub(record.drawn)),
                 returned: Tokens::ZERO,
-            });
+            };
         }
         let surplus = purse
             .free
             .saturating_sub(wanted + Tokens::new(keep.get() / 2));
-        let is_worth = self.is_closed || surplus.get() > paid.get() / SURPLUS_PART;
-        (is_worth && !surplus.is_zero()).then_some(Move {
-            account,
+        let is_worth = surplus.get() > paid.get() / SURPLUS_PART;
+        Move {
             drawn: Tokens::ZERO,
-            returned: surplus,
-        })
+            returned: if is_worth { surplus } else { Tokens::ZERO },
+        }
     }
 
-    /// Returns what should be kept here of an account. Its part of what the account has left
-    /// does not depend on who holds that, so that entries do not pass tokens back and forth.
-    fn keep(
-        &self,
-        shares: &Shares,
-        account: &ClientAccountId,
-        paid: Tokens,
-        now: Millis,
-    ) -> Tokens {
-        if self.is_closed {
-            return Tokens::ZERO;
-        }
-        let unspent = shares
-            .holders
-            .iter()
-            .filter(|(vm, _)| **vm != self.me)
-            .filter_map(|(_, holder)| holder.unspent.get(account).copied());
-        let here = self
-            .purses
-            .get(account)
-            .map_or(Tokens::ZERO, Purse::unspent);
-        let left = paid.saturating_sub(shares.drawn(account));
-        let total: Tokens = unspent.sum::<Tokens>() + here + left;
-        let held = held_by_all(shares, account, paid, total);
-        let purse = self.purses.get(account);
-        let rate = purse.map_or(0.0, |purse| purse.rate(now));
-        let fair = held as f64 * self.part(shares, account, rate, now);
+    /// Returns what a home should keep. It does not depend on who holds what the account has left,
+    /// so that a change of the home moves no tokens twice.
+    fn keep(&self, purse: &Purse, record: &Record, paid: Tokens, now: Millis) -> Tokens {
+        let left = paid.saturating_sub(record.drawn);
+        let total = self.held_elsewhere(record) + purse.unspent() + left;
+        let fair = Tokens::new(most_held(record, paid, total));
         let first = Tokens::new(paid.get() / FIRST_PART);
-        let cover = purse.map_or(Tokens::ZERO, |purse| purse.cover(now));
-        cover.max(first).min(Tokens::new(fair as u64))
+        purse.cover(COVER, now).max(first).min(fair)
     }
+}
 
-    /// Returns this entry's part of an account's use, at least a quarter of an even part:
-    /// callers of one account mostly stay with one entry.
-    fn part(&self, shares: &Shares, account: &ClientAccountId, rate: f64, now: Millis) -> f64 {
-        let others = shares.holders.iter().filter(|(vm, _)| **vm != self.me);
-        let running = others.filter(|(vm, _)| {
-            let change = self.changes.get(*vm);
-            change.is_some_and(|change| now.saturating_sub(change.2) <= HOLDER_PRUNE)
-        });
-        let rates = running.filter_map(|(_, holder)| holder.rates.get(account));
-        let elsewhere: Tokens = rates.copied().sum();
-        let all = rate + elsewhere.get() as f64;
-        let even = 1.0 / self.entries(now) as f64;
-        let own = if all > 0.0 { rate / all } else { even };
-        own.max(even * MIN_PART)
+impl Purse {
+    /// Returns true if this entry draws tokens of the account.
+    fn draws(&self, role: Role, now: Millis) -> bool {
+        let stands_in = self.stands_in.is_some_and(|until| now < until);
+        self.paid.is_some() && (role == Role::Home || stands_in)
     }
 
-    fn next_shares(&self, mut shares: Shares, moves: &[Move], now: Millis) -> Shares {
-        let mut unspent: BTreeMap<ClientAccountId, Tokens> = self
-            .purses
-            .iter()
-            .map(|(account, purse)| (account.clone(), purse.unspent()))
-            .collect();
-        for step in moves {
-            let drawn = shares.drawn.entry(step.account.clone()).or_default();
-            *drawn = (*drawn + step.drawn).saturating_sub(step.returned);
-            let here = unspent.entry(step.account.clone()).or_default();
-            *here = (*here + step.drawn).saturating_sub(step.returned);
-        }
-        unspent.retain(|_, tokens| !tokens.is_zero());
-        let is_recent = |vm: &VmId| {
-            let change = self.changes.get(vm);
-            change.is_none_or(|(_, _, at)| now.saturating_sub(*at) <= HOLDER_PRUNE)
-        };
-        if shares.key.is_empty() {
-            shares.key = format!("{:032x}", rand::random::<u128>()).into();
-        }
-        let is_gone = |vm: &VmId, holder: &Holder| {
-            let is_replaced = *vm == self.me && holder.start != self.start;
-            is_replaced || !is_recent(vm)
-        };
-        let gone = shares
-            .holders
-            .iter()
-            .filter(|(vm, holder)| is_gone(vm, holder));
-        for (account, tokens) in gone.flat_map(|(_, holder)| &holder.unspent) {
-            *shares.lost.entry(account.clone()).or_default() += *tokens;
-        }
-        shares.holders.retain(|vm, _| is_recent(vm));
-        let rates = self.purses.iter().filter_map(|(account, purse)| {
-            let rate = Tokens::new(purse.rate(now) as u64);
-            (!rate.is_zero()).then(|| (account.clone(), rate))
-        });
-        let mine = Holder {
-            start: self.start,
-            writes: self.writes,
-            peers: self.peers,
-            unspent,
-            rates: rates.collect(),
+    fn finish(&mut self, is_done: bool) {
+        let Some(plan) = self.pending.take() else {
+            return;
         };
-        shares.holders.insert(self.me.clone(), mine);
-        shares
+        self.is_unanswered = false;
+        self.free += if is_done { plan.drawn } else { plan.returned };
     }
 }
+
+/// Returns the record after a move. This entry is kept in it without tokens too: the number of
+/// the write tells whether it was made.
+fn next_record(mut record: Record, me: &VmId, mine: Holder, step: Move) -> Record {
+    record.drawn = (record.drawn + step.drawn).saturating_sub(step.returned);
+    record.holders.insert(me.clone(), mine);
+    record
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,16 +6,26 @@
 };
 
 use cyc_obs::Metrics;
-use cyc_types::{Clock, Millis};
+use cyc_types::{ClientAccountId, Clock, Millis, VmId};
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    choose, config::Configuration, daemon::Settings, fleet::Fleet, member::Members,
-    repeat::Repeats, share::Wallet, stop::Stop,
+    choose,
+    config::Configuration,
+    control::Links,
+    daemon::Settings,
+    fleet::Fleet,
+    member::Members,
+    peers::Peers,
+    repeat::Repeats,
+    share::{Role, Wallet},
+    stop::Stop,
 };
 
 /// The state of one entry.
 pub struct State<W> {
+    /// This entry's VM.
+    pub vm: VmId,
     /// The protocol of callers and targets.
     pub wire: W,
     /// The clock.
@@ -30,12 +40,18 @@
     pub members_known: Cell<bool>,
     /// What is known of the targets.
     pub fleet: RefCell<Fleet>,
+    /// The other entries.
+    pub peers: RefCell<Peers>,
+    /// Connections to the other entries.
+    pub links: RefCell<Links>,
     /// Prepaid tokens held here.
     pub wallet: RefCell<Wallet>,
-    /// Calls for the shared record that failed since the last one that was answered.
+    /// Calls for shared records that failed since the last one that was answered.
     pub shares_failures: Cell<u32>,
-    /// Asks for a look at the shared record at once.
+    /// Asks for a look at the shared records at once.
     pub draw_wanted: Notify,
+    /// Asks for a new sign of this entry at once.
+    pub sign_wanted: Notify,
     /// Asks for loans of other entries.
     pub loan_wanted: Notify,
     /// The wallet has changed.
@@ -52,6 +68,7 @@
     /// Creates the state of an entry that knows nothing yet.
     pub fn new(wire: W, settings: &Settings, start: u64, metrics: Metrics) -> Self {
         Self {
+            vm: settings.vm.clone(),
             wire,
             clock: Clock::System,
             metrics,
@@ -62,9 +79,12 @@
                 settings.zone.clone(),
                 choose::Options::default(),
             )),
+            peers: RefCell::new(Peers::new(settings.vm.clone(), start)),
+            links: RefCell::default(),
             wallet: RefCell::new(Wallet::new(settings.vm.clone(), start)),
             shares_failures: Cell::new(0),
             draw_wanted: Notify::new(),
+            sign_wanted: Notify::new(),
             loan_wanted: Notify::new(),
             wallet_changed: Notify::new(),
             repeats: RefCell::new(Repeats::new(settings.repeats)),
@@ -90,7 +110,15 @@
 
     /// Returns the number of running entries, with this one.
     pub fn entries(&self) -> usize {
-        self.wallet.borrow().entries(self.now())
+        self.peers.borrow().running()
+    }
+
+    /// Returns what this entry does for an account.
+    pub fn role(&self, account: &ClientAccountId) -> Role {
+        match self.peers.borrow().is_home(account) {
+            true => Role::Home,
+            false => Role::Guest,
+        }
     }
 
     /// Hands the list of targets to the fleet after a change.
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod loan;
 #[path = "gateway/member.rs"]
 mod member;
+#[path = "gateway/peers.rs"]
+mod peers;
 #[path = "gateway/repeat.rs"]
 mod repeat;
 #[path = "gateway/share.rs"]
--- a/crates/gateway/tests/gateway/share_model.rs
+++ b/crates/gateway/tests/gateway/share_model.rs
@@ -1,7 +1,7 @@
 //! A seeded model: entries against a store whose writes are refused, lost, or made late.
 
-use cyc_gateway::share::{Plan, Reservation, Shares, Wallet};
-use cyc_types::{ClientAccountId, Millis, Tokens, Version};
+use cyc_gateway::share::{GiveBack, LoanRequest, Plan, Record, Reservation, Role, Wallet};
+use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
 use googletest::prelude::*;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
@@ -14,7 +14,7 @@
 #[derive(Default)]
 struct Store {
     version: u64,
-    shares: Shares,
+    record: Record,
     late: Vec<Plan>,
 }
 
@@ -28,7 +28,7 @@
             return false;
         }
         self.version += 1;
-        self.shares = plan.shares.clone();
+        self.record = plan.record.clone();
         true
     }
 }
@@ -53,36 +53,88 @@
     }
 }
 
-/// One exchange with the store: read, plan, write; each may fail in its own way.
+fn vm(index: usize) -> VmId {
+    format!("vm-{index}").parse().unwrap()
+}
+
+/// One exchange with the store: sometimes a read, a plan, a write; each may fail in its own way.
+/// Any entry may take itself for the home, and any start may be taken for ended.
 fn exchange(entry: &mut Entry, store: &mut Store, rng: &mut StdRng, now: Millis) {
-    if rng.random_bool(0.15) {
-        return;
+    let wallet = &mut entry.wallet;
+    let role = match rng.random_bool(0.7) {
+        true => Role::Home,
+        false => Role::Guest,
+    };
+    if rng.random_bool(0.1) {
+        wallet.stand_in(&account(), now);
     }
-    entry
-        .wallet
-        .observe(store.base(), store.shares.clone(), now);
-    let Some(plan) = entry.wallet.plan(now) else {
+    if wallet.must_read(&account(), role, now) || rng.random_bool(0.1) {
+        if rng.random_bool(0.15) {
+            return;
+        }
+        wallet.observe(&account(), store.base(), store.record.clone(), now);
+    }
+    let start = |_| rng.random_bool(0.9).then_some(1);
+    wallet.set_starts((0..ENTRIES).map(vm).zip((0..ENTRIES).map(start)).collect());
+    let Some(plan) = wallet.plan(&account(), role, now) else {
         return;
     };
     match rng.random_range(0..10) {
-        0 => entry.wallet.refused(),
-        1 => entry.wallet.unanswered(),
+        0 => wallet.refused(&account()),
+        1 => wallet.unanswered(&account()),
         2 => {
             store.late.push(plan);
-            entry.wallet.unanswered();
+            wallet.unanswered(&account());
         }
         3 => {
             store.apply(&plan);
-            entry.wallet.unanswered();
+            wallet.unanswered(&account());
+        }
+        _ if store.apply(&plan) => {
+            wallet.written(&account(), Version::new(store.version), now);
         }
         _ => {
-            if store.apply(&plan) {
-                entry.wallet.written(Version::new(store.version), now);
+            wallet.conflicted(&account());
+            if rng.random_bool(0.5) {
+                wallet.observe(&account(), store.base(), store.record.clone(), now);
             }
         }
     }
 }
 
+/// Tokens pass from one entry to another by a loan or a return; the message may get lost.
+fn hand_over(entries: &mut [Entry], rng: &mut StdRng, now: Millis) {
+    let (from, to) = (rng.random_range(0..ENTRIES), rng.random_range(0..ENTRIES));
+    if from == to {
+        return;
+    }
+    let is_lost = rng.random_bool(0.2);
+    if rng.random_bool(0.3) {
+        let given = entries[from].wallet.give_back(|_| Role::Guest, now);
+        for (account, tokens) in given.into_iter().filter(|_| !is_lost) {
+            entries[to].wallet.take_back(&GiveBack {
+                key: "key".into(),
+                from: vm(from),
+                account,
+                tokens,
+            });
+        }
+        return;
+    }
+    let request = LoanRequest {
+        key: "key".into(),
+        from: vm(to),
+        account: account(),
+        least: Tokens::new(rng.random_range(0..4_000)),
+        want: Tokens::new(rng.random_range(4_000..9_000)),
+        should_draw: true,
+    };
+    let tokens = entries[from].wallet.lend(&request, now);
+    if !is_lost {
+        entries[to].wallet.borrow(&account(), tokens);
+    }
+}
+
 fn request(entry: &mut Entry, rng: &mut StdRng, now: Millis) -> u64 {
     let worst = Tokens::new(rng.random_range(100..4_000));
     if let Ok(reservation) = entry.wallet.reserve(&account(), worst, now) {
@@ -124,18 +176,14 @@
                         store.apply(&plan);
                     }
                 }
-                3..=9 => exchange(&mut entries[index], &mut store, &mut rng, now),
+                3..=8 => exchange(&mut entries[index], &mut store, &mut rng, now),
+                9..=10 => hand_over(&mut entries, &mut rng, now),
                 _ => used += request(&mut entries[index], &mut rng, now),
             }
             let open: Tokens = entries.iter().flat_map(|e| &e.open).map(|r| r.tokens).sum();
             assert!(used + open.get() <= PAID, "seed {seed} step {step}: {used}");
         }
-        let drawn = store
-            .shares
-            .drawn
-            .get(&account())
-            .copied()
-            .unwrap_or_default();
+        let drawn = store.record.drawn;
         assert!(drawn.get() <= PAID, "seed {seed}: drawn {drawn}");
     }
 }
