A planned stop takes nothing while it returns its tokens

Ruled out: the wait for requests in flight; they had all ended when the return began. An entry that cannot read the signs of the others tries again a beat later.

--- a/crates/gateway/src/control/signs.rs
+++ b/crates/gateway/src/control/signs.rs
@@ -29,7 +29,12 @@
                     .ok();
             }
             Err(error) => {
-                let wait = pause.grow();
+                let soon = pause.grow();
+                // Once the others are known, a beat later is soon enough for a call with a price.
+                let wait = match state.peers.borrow().is_settled() {
+                    true => BEAT,
+                    false => soon,
+                };
                 spdlog::warn!("entries_not_read", kv: {
                     error = error.to_string(),
                     again_ms = wait.get(),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -121,6 +121,8 @@
         control::return_shares(&state, &*store),
     )
     .await;
+    // The last refusals are still being written.
+    sleep(STOP_TICK.duration()).await;
     spdlog::info!("stopped", kv: {
         in_flight = state.in_flight.get(),
         are_tokens_returned = returned == Ok(true),
@@ -169,7 +171,12 @@
     state.sign_wanted.notify_one();
     let (since, until) = (state.now(), Instant::now() + grace.duration());
     let end = since + grace;
-    state.stopping.send_replace(Some(Stop { since, end }));
+    let stop = Stop {
+        since,
+        end,
+        is_over: false,
+    };
+    state.stopping.send_replace(Some(stop));
     sleep((LINGER + STOP_TICK).duration()).await;
     let idle = async {
         while state.in_flight.get() > 0 {
@@ -178,4 +185,7 @@
     };
     // What is in flight then ends with the process; the last log line counts it.
     timeout_at(until, idle).await.ok();
+    // From here on the process only returns its tokens, which takes calls to the store.
+    let is_over = true;
+    state.stopping.send_replace(Some(Stop { is_over, ..stop }));
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -13,12 +13,14 @@
     pub since: Millis,
     /// When the process ends, with or without the requests in flight.
     pub end: Millis,
+    /// The last request has ended; the process only returns its tokens.
+    pub is_over: bool,
 }
 
 impl Stop {
     /// Returns true if a request that may last for `longest` is taken at `now`. After
     /// [`LINGER`] only those are that end before the process does.
     pub fn admits(&self, now: Millis, longest: Millis) -> bool {
-        now < self.since + LINGER || now + longest < self.end
+        !self.is_over && (now < self.since + LINGER || now + longest < self.end)
     }
 }
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -11,6 +11,7 @@
     let stop = Stop {
         since: Millis::new(1_000),
         end: Millis::new(8_400),
+        is_over: false,
     };
     let just_before = LINGER.saturating_sub(Millis::new(1));
     let cases = [
@@ -27,3 +28,17 @@
         expect_that!(admitted, eq(expected), "{after} ms, {longest} ms");
     }
 }
+
+/// Pattern: the last request has ended and the tokens are being returned when one more call comes
+/// on a kept connection. The process would end under it.
+#[gtest]
+fn nothing_is_taken_once_the_last_request_has_ended() {
+    let stop = Stop {
+        since: Millis::ZERO,
+        end: Millis::new(8_000),
+        is_over: true,
+    };
+    for after in [Millis::ZERO, LINGER, LINGER + LINGER] {
+        expect_false!(stop.admits(after, Millis::new(10)));
+    }
+}
