--- a/crates/cli/src/document.rs
+++ b/crates/cli/src/document.rs
@@ -6,9 +6,8 @@
 };
 
 use cyc_config::{Document, LoadError, Revised as _, SubmitError, store};
-use cyc_proto::ProcessKey;
 use cyc_store::HttpPlatform;
-use cyc_types::Revision;
+use cyc_types::{ProcessKey, Revision};
 use serde_json::json;
 
 use crate::{
--- a/crates/cli/src/input.rs
+++ b/crates/cli/src/input.rs
@@ -2,8 +2,8 @@
 
 use std::{fmt, net::SocketAddr, path::Path, str::FromStr};
 
-use cyc_proto::ProcessKey;
-use cyc_settings::table::{Allowed, MIN_PROCESS_KEY_CHARS};
+use cyc_settings::table::Allowed;
+use cyc_types::{ProcessKey, key::MIN_PROCESS_KEY_CHARS};
 
 use crate::output::{Exit, Output};
 
@@ -67,16 +67,15 @@
 /// # Errors
 /// If the file cannot be read or holds no key.
 pub fn key_file(path: &Path) -> Result<ProcessKey, Error> {
-    let allowed = Allowed::Secret {
-        min_chars: MIN_PROCESS_KEY_CHARS,
-    };
     let text = std::fs::read_to_string(path).unwrap_or_default();
-    match allowed.accepts(text.trim()) {
-        true => Ok(ProcessKey::new(text.trim())),
-        false => Err(Error {
-            field: "--key-file",
-            value: path.display().to_string(),
-            allowed: format!("a readable file with {allowed}"),
-        }),
-    }
+    text.trim().parse().map_err(|_| Error {
+        field: "--key-file",
+        value: path.display().to_string(),
+        allowed: format!(
+            "a readable file with {}",
+            Allowed::Secret {
+                min_chars: MIN_PROCESS_KEY_CHARS,
+            }
+        ),
+    })
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -6,11 +6,11 @@
 use cyc_config::part::Head;
 use cyc_member::{Member, Role, list};
 use cyc_proto::{
-    Link, ProcessKey,
+    Link,
     peer::{EntryStatus, PeerClient as _},
 };
 use cyc_store::{HttpPlatform, Kind, Platform, VmState};
-use cyc_types::{BudgetId, Incarnation, Revision, Tokens, VmId};
+use cyc_types::{BudgetId, Incarnation, ProcessKey, Revision, Tokens, VmId};
 use serde::Serialize;
 
 use crate::{
--- a/crates/entry/src/control/follow.rs
+++ b/crates/entry/src/control/follow.rs
@@ -5,11 +5,11 @@
 use cyc_config::{LoadError, Revised as _, Snapshot, store};
 use cyc_member::Backoff;
 use cyc_proto::{
-    Link, ProcessKey,
+    Link,
     peer::{ConfigRequest, PeerClient as _},
 };
 use cyc_store::{Kind, Platform};
-use cyc_types::{Millis, Version};
+use cyc_types::{Millis, ProcessKey, Version};
 
 use crate::{app::App, fleet::Place};
 
--- a/crates/entry/src/control/lend.rs
+++ b/crates/entry/src/control/lend.rs
@@ -15,11 +15,11 @@
 use cyc_budget::Lack;
 use cyc_member::{Member, Role};
 use cyc_proto::{
-    Link, ProcessKey,
+    Link,
     peer::{LendRequest, PeerClient as _, RepayRequest},
 };
 use cyc_store::Platform;
-use cyc_types::{Incarnation, Millis, Tokens};
+use cyc_types::{Incarnation, Millis, ProcessKey, Tokens};
 
 use crate::app::App;
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,11 +7,11 @@
 use cyc_ledger::{Flusher, flush};
 use cyc_member::{Entry as MemberEntry, Role, register};
 use cyc_obs::Metrics;
-use cyc_proto::{ProcessKey, bind, peer::PeerServer as _, serve};
+use cyc_proto::{bind, peer::PeerServer as _, serve};
 use cyc_route::{Pools, health, pool};
 use cyc_settings::{EntrySettings, GrantPolicy};
 use cyc_store::{HttpPlatform, Platform};
-use cyc_types::{Clock, Incarnation, Millis};
+use cyc_types::{Clock, Incarnation, Millis, ProcessKey};
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
@@ -88,9 +88,9 @@
         callers = caller_listener.local_addr()?.to_string(),
     });
 
-    let key = ProcessKey::new(settings.access.process_key.as_str());
-    let app = build(&settings, platform.clone(), me, &key)?;
-    let server = serve(peer_listener, &key, Rpc::new(app.clone()).into_rpc())?;
+    let key = &settings.access.process_key;
+    let app = build(&settings, platform.clone(), me, key)?;
+    let server = serve(peer_listener, key, Rpc::new(app.clone()).into_rpc())?;
     tokio::spawn(control::gauges::run(app.clone()));
     tokio::spawn(control::heartbeat::run(app.clone()));
     tokio::spawn(control::contacts::run(app.clone(), platform.clone()));
@@ -107,7 +107,12 @@
     let idle = settings.budget.idle;
     let lender = Arc::new(Lender::new(app.clone(), key.clone(), &seeds, idle));
     tokio::spawn(lender.clone().run(platform.clone()));
-    tokio::spawn(control::follow::run(app.clone(), platform, seeds, key));
+    tokio::spawn(control::follow::run(
+        app.clone(),
+        platform,
+        seeds,
+        key.clone(),
+    ));
 
     println!("listening on {}", caller_listener.local_addr()?);
     let (stop, stopped) = watch::channel(false);
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -6,9 +6,9 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use cyc_proto::{Link, ProcessKey, sidecar::HeartbeatReply};
+use cyc_proto::{Link, sidecar::HeartbeatReply};
 use cyc_route::{Ask, Failure, Health, Options, Standing, Target, candidates, choose, health};
-use cyc_types::{AvailabilityZone, Incarnation, Millis, ServiceId, TargetId};
+use cyc_types::{AvailabilityZone, Incarnation, Millis, ProcessKey, ServiceId, TargetId};
 
 /// Hashes of cached prefixes kept for each target.
 const PREFIX_CAPACITY: usize = 4_096;
--- a/crates/entry/tests/entry/books.rs
+++ b/crates/entry/tests/entry/books.rs
@@ -8,9 +8,9 @@
     fleet::{Fleet, Place, Sidecar},
 };
 use cyc_ledger::{Billed, Flusher, flush};
-use cyc_proto::{ProcessKey, Receipt};
+use cyc_proto::Receipt;
 use cyc_standin::store::Store;
-use cyc_types::{BudgetId, Clock, Incarnation, Millis, RequestId, Tokens};
+use cyc_types::{BudgetId, Clock, Incarnation, Millis, ProcessKey, RequestId, Tokens};
 use googletest::prelude::*;
 
 const RESERVED: Tokens = Tokens::new(100);
@@ -45,7 +45,7 @@
     let (ledger, flusher, _released) =
         Flusher::new(store, purse.clone(), me.clone(), clock, options);
     let fleet = Fleet::new(
-        ProcessKey::new("a-key-of-processes"),
+        "a-key-of-processes".parse::<ProcessKey>().unwrap(),
         cyc_route::Options::default(),
         cyc_route::health::Options::default(),
     );
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use link::{Link, LinkError};
 pub use receipt::{GrantId, Receipt};
-pub use serve::{ProcessKey, bind, serve};
+pub use serve::{bind, serve};
--- a/crates/proto/src/link.rs
+++ b/crates/proto/src/link.rs
@@ -2,15 +2,13 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
-use cyc_types::Millis;
+use cyc_types::{Millis, ProcessKey};
 use jsonrpsee::{
     core::client::Error as ClientError,
     ws_client::{HeaderMap, HeaderValue, PingConfig, WsClient, WsClientBuilder},
 };
 use tokio::sync::Mutex;
 
-use crate::serve::ProcessKey;
-
 /// Frames of one answer that may wait in the client before the subscription is closed.
 const SUBSCRIPTION_BUFFER: usize = 4_096;
 /// Calls that may be in flight on one connection.
--- a/crates/proto/src/serve.rs
+++ b/crates/proto/src/serve.rs
@@ -8,12 +8,12 @@
     task::{Context, Poll},
 };
 
+use cyc_types::ProcessKey;
 use jsonrpsee::{
     Methods,
     core::BoxError,
     server::{HttpBody, HttpRequest, HttpResponse, PingConfig, Server, ServerConfig, ServerHandle},
 };
-use smol_str::SmolStr;
 use tower::{Layer, Service, ServiceBuilder};
 
 /// The largest message in either direction, in bytes. It holds a body of a few megabytes.
@@ -137,27 +137,3 @@
 fn same_bytes(a: &[u8], b: &[u8]) -> bool {
     a.len() == b.len() && a.iter().zip(b).fold(0, |diff, (x, y)| diff | (x ^ y)) == 0
 }
-
-/// The shared key of the processes of one deployment.
-///
-/// Its text is never printed.
-#[derive(Clone, PartialEq, Eq)]
-pub struct ProcessKey(SmolStr);
-
-impl ProcessKey {
-    /// Wraps the key.
-    pub fn new(key: impl Into<SmolStr>) -> Self {
-        Self(key.into())
-    }
-
-    /// Returns the key, for the header of a connection.
-    pub fn expose(&self) -> &str {
-        &self.0
-    }
-}
-
-impl std::fmt::Debug for ProcessKey {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("ProcessKey(..)")
-    }
-}
--- a/crates/quickstart/src/deploy.rs
+++ b/crates/quickstart/src/deploy.rs
@@ -14,14 +14,14 @@
 use cyc_config::{Document, Revised as _, store};
 use cyc_ledger::report;
 use cyc_member::Member;
-use cyc_proto::{ProcessKey, peer::EntryStatus};
+use cyc_proto::peer::EntryStatus;
 use cyc_standin::{
     client::Client,
     process::{Process, Signal},
     relay::TcpRelay,
 };
 use cyc_store::HttpPlatform;
-use cyc_types::{Clock, Millis, Revision, Tokens};
+use cyc_types::{Clock, Millis, ProcessKey, Revision, Tokens};
 use http::Method;
 use serde_json::json;
 
@@ -432,9 +432,11 @@
     /// # Errors
     /// If the platform gives no answer.
     pub async fn status(&self) -> Result<Status, Error> {
-        status::collect(&self.platform_client(), &ProcessKey::new(PROCESS_KEY))
-            .await
-            .map_err(|error| Error::Refused(error.to_string()))
+        let key: ProcessKey = PROCESS_KEY
+            .parse()
+            .map_err(|error| Error::Refused(format!("{error}")))?;
+        let status = status::collect(&self.platform_client(), &key).await;
+        status.map_err(|error| Error::Refused(error.to_string()))
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use entry::{Budget, EntryLimits, EntrySettings, GrantPolicy, Ledger};
 pub use error::{Fault, SettingsError};
-pub use shared::{Access, LogLevel, Peers, PlatformAccess, Process, ProcessKey};
+pub use shared::{Access, LogLevel, Peers, PlatformAccess, Process};
 pub use sidecar::{SidecarLimits, SidecarSettings, Target, TargetKind};
 pub use table::{Allowed, Daemon, Need, SETTINGS, Setting};
--- a/crates/settings/src/shared.rs
+++ b/crates/settings/src/shared.rs
@@ -1,16 +1,11 @@
 //! The settings that both daemons read.
 
-use std::{fmt, net::SocketAddr, str::FromStr};
+use std::net::SocketAddr;
 
-use cyc_types::{AvailabilityZone, Millis, VmId, size::ParseValueError};
-use smol_str::SmolStr;
+use cyc_types::{AvailabilityZone, Millis, ProcessKey, VmId};
 use strum::{Display, EnumString};
 
-use crate::{
-    error::SettingsError,
-    read::Values,
-    table::{Allowed, MIN_PROCESS_KEY_CHARS},
-};
+use crate::{error::SettingsError, read::Values};
 
 /// The least severe level that is logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString)]
@@ -30,43 +25,6 @@
     Off,
 }
 
-/// The key that all processes share.
-///
-/// Invariant: visible ASCII, at least [`MIN_PROCESS_KEY_CHARS`] of them. `Debug` hides it.
-#[derive(Clone, PartialEq, Eq)]
-pub struct ProcessKey(SmolStr);
-
-impl ProcessKey {
-    /// Returns the key as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Debug for ProcessKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("ProcessKey(..)")
-    }
-}
-
-impl FromStr for ProcessKey {
-    type Err = ParseValueError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let allowed = Allowed::Secret {
-            min_chars: MIN_PROCESS_KEY_CHARS,
-        };
-        if allowed.accepts(text) {
-            Ok(Self(text.into()))
-        } else {
-            Err(ParseValueError {
-                wanted: "ProcessKey",
-                given: String::from("(hidden)"),
-            })
-        }
-    }
-}
-
 /// What both daemons read from `[process]`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Process {
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr};
 
-use cyc_types::VmId;
+use cyc_types::{VmId, key::MIN_PROCESS_KEY_CHARS};
 use strum::Display;
 
 /// The daemons that read settings.
@@ -125,9 +125,6 @@
 /// The words for `log_level`.
 pub const LOG_LEVELS: &[&str] = &["trace", "debug", "info", "warn", "error", "off"];
 
-/// The fewest characters of `process_key`.
-pub const MIN_PROCESS_KEY_CHARS: usize = 16;
-
 /// Ten minutes in milliseconds, the limit of most waits.
 const TEN_MINUTES_MS: u64 = 600_000;
 /// One day in milliseconds.
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -5,7 +5,7 @@
 use cyc_claim::{Committer, commit};
 use cyc_member::{Backoff, Entry as MemberEntry, Role, fence, register};
 use cyc_orders::FenceCheck;
-use cyc_proto::{ProcessKey, bind, serve, sidecar::SidecarServer as _};
+use cyc_proto::{bind, serve, sidecar::SidecarServer as _};
 use cyc_route::{Pools, pool};
 use cyc_settings::{SidecarSettings, TargetKind};
 use cyc_store::{HttpPlatform, Platform};
@@ -80,8 +80,8 @@
         .learn_fences(&read_fences(platform.as_ref()).await);
     spdlog::info!("started", kv: { sidecar = me.to_string(), addr = addr.to_string() });
 
-    let key = ProcessKey::new(settings.access.process_key.as_str());
-    let server = serve(listener, &key, Rpc::new(sidecar.clone()).into_rpc())?;
+    let key = &settings.access.process_key;
+    let server = serve(listener, key, Rpc::new(sidecar.clone()).into_rpc())?;
     if settings.target.kind == TargetKind::Engine {
         tokio::spawn(load::follow_engine(sidecar.clone(), settings.target.load));
         let check = match settings.target.checks_fencing {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod error;
 pub mod hash;
 pub mod id;
+pub mod key;
 pub mod size;
 
 pub use clock::{Clock, Millis};
@@ -15,4 +16,5 @@
     AvailabilityZone, BudgetId, ClientAccountId, IdempotencyKey, Incarnation, ModelId, RequestId,
     ServiceId, TargetId, VmId,
 };
+pub use key::ProcessKey;
 pub use size::{ByteSize, PerSecond, Revision, Tokens, Version};
