Simplify the code of shares, peers and loans

The expected use of a span was computed in four places, the loop over records in two, and the home of an account by a sorted copy of its ranks, twice for a loan and once for each account at each look at the wallet. Peers had two ways to set the address, one for tests. The subset of a service that is looked at whole kept a ring that nobody read. The loop that asks lenders was three levels deep. Behaviour is as before; tests keep their assertions.

--- a/crates/gateway/src/control/loans.rs
+++ b/crates/gateway/src/control/loans.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
-use cyc_types::{ClientAccountId, Millis, VmId};
+use cyc_types::{ClientAccountId, Millis};
 use futures::future::join_all;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -96,29 +96,29 @@
     let peers = state.peers.borrow();
     let ranks = peers.ranks(account);
     let holders = state.wallet.borrow().lenders(account, state.now());
-    let others = holders.into_iter().filter(|vm| !ranks.contains(vm));
-    let all: Vec<VmId> = ranks.iter().cloned().chain(others).collect();
-    let contacts = all.iter().filter(|vm| **vm != state.vm);
+    let others = holders.iter().filter(|vm| !ranks.contains(vm));
+    let all = ranks.iter().chain(others);
+    let contacts = all.filter(|vm| **vm != state.vm);
     let contacts = contacts.filter_map(|vm| peers.contact(vm));
-    let is_open = |contact: &Contact| !is_silent(state, contact.addr);
+    let links = state.links.borrow();
+    let is_open = |contact: &Contact| !is_ahead(links.silent.get(&contact.addr));
     contacts.filter(is_open).take(MAX_ASKED).collect()
 }
 
-fn is_silent<W>(state: &State<W>, addr: SocketAddr) -> bool {
-    let until = state.links.borrow().silent.get(&addr).copied();
-    until.is_some_and(|until| until > Instant::now())
+/// Returns true if there is a time and it has not come yet.
+fn is_ahead(until: Option<&Instant>) -> bool {
+    until.is_some_and(|until| *until > Instant::now())
 }
 
 async fn borrow<W>(state: &State<W>, need: &Need) {
-    let believed = state.links.borrow().fruitless.get(&need.account).copied();
-    if believed.is_some_and(|until| until > Instant::now()) {
+    if is_ahead(state.links.borrow().fruitless.get(&need.account)) {
         return;
     }
     let account = need.account.clone();
     let mut need = need.clone();
     let mut is_fruitless = true;
     let mut is_answered = false;
-    let home = state.peers.borrow().ranks(&account).into_iter().next();
+    let home = state.peers.borrow().home(&account).cloned();
     let lenders = lenders(state, &account);
     // A home that is not asked is this entry, or was silent lately.
     let mut is_home_out = match lenders.first() {
@@ -128,37 +128,28 @@
     for lender in lenders {
         let is_home = Some(&lender.vm) == home.as_ref();
         let reply = ask(state, &lender, &need, is_home || is_home_out).await;
-        is_answered |= reply.is_some();
-        let short = reply.and_then(|reply| reply.short);
         if is_home {
-            is_home_out = match short {
-                _ if reply.is_none() => true,
-                Some(Short::Drawable | Short::Unknown) => true,
-                Some(Short::Elsewhere | Short::Exhausted) | None => false,
-            };
+            is_home_out = reply.is_none_or(cannot_draw);
         }
-        if short == Some(Short::Exhausted) {
+        let Some(reply) = reply else { continue };
+        is_answered = true;
+        if reply.short == Some(Short::Exhausted) {
             let now = state.now();
             state.wallet.borrow_mut().note_exhausted(&need, now);
             break;
         }
-        match reply {
-            Some(reply) if !reply.tokens.is_zero() => {
-                is_fruitless = false;
-                state
-                    .wallet
-                    .borrow_mut()
-                    .borrow(&need.account, reply.tokens);
-                state.wallet_changed.notify_waiters();
-                // The requests that the loan serves take their tokens first.
-                yield_now().await;
-                let rest = state.wallet.borrow().need(&need.account, state.now());
-                match rest {
-                    Some(rest) => need = rest,
-                    None => return,
-                }
-            }
-            Some(_) | None => {}
+        if reply.tokens.is_zero() {
+            continue;
+        }
+        is_fruitless = false;
+        state.wallet.borrow_mut().borrow(&account, reply.tokens);
+        state.wallet_changed.notify_waiters();
+        // The requests that the loan serves take their tokens first.
+        yield_now().await;
+        let rest = state.wallet.borrow().need(&account, state.now());
+        match rest {
+            Some(rest) => need = rest,
+            None => return,
         }
     }
     if is_fruitless {
@@ -175,6 +166,11 @@
     state.wallet_changed.notify_waiters();
 }
 
+/// Returns true if the record has tokens, as far as the lender knows, and it did not draw them.
+fn cannot_draw(reply: LoanReply) -> bool {
+    matches!(reply.short, Some(Short::Drawable | Short::Unknown))
+}
+
 async fn ask<W>(
     state: &State<W>,
     lender: &Contact,
@@ -209,7 +205,7 @@
     reply.ok()
 }
 
-/// Gives back what this entry does not need, to a home of each account. What cannot be given
+/// Gives back what this entry does not need, to the home of each account. What cannot be given
 /// back is kept.
 pub async fn give_back<W>(state: &State<W>) {
     let role = |account: &ClientAccountId| state.role(account);
--- a/crates/gateway/src/control/shares.rs
+++ b/crates/gateway/src/control/shares.rs
@@ -85,16 +85,26 @@
     if state.shares_failures.get() > 0 {
         due.truncate(1);
     }
-    let steps = due.iter().map(|account| step(state, store, account));
+    Ok(match step_all(state, store, &due).await? {
+        true => Round::Done,
+        false => Round::Conflicts,
+    })
+}
+
+/// Reads and writes the records of some accounts. Returns false if another try should follow at
+/// once.
+async fn step_all<W: Wire, S: Store>(
+    state: &State<W>,
+    store: &S,
+    accounts: &[ClientAccountId],
+) -> Result<bool, StoreError> {
+    let steps = accounts.iter().map(|account| step(state, store, account));
     let done: Vec<Result<bool, StoreError>> = stream::iter(steps)
         .buffer_unordered(CONCURRENT)
         .collect()
         .await;
-    let done: Result<Vec<bool>, StoreError> = done.into_iter().collect();
-    Ok(match done?.iter().all(|is_done| *is_done) {
-        true => Round::Done,
-        false => Round::Conflicts,
-    })
+    let done: Vec<bool> = done.into_iter().collect::<Result<_, _>>()?;
+    Ok(done.iter().all(|is_done| *is_done))
 }
 
 /// Reads and writes the record of an account as far as that is due. Returns false if another try
@@ -137,7 +147,7 @@
     written.map(|written| matches!(written, Written::Done(_)))
 }
 
-/// Returns all tokens that no request has reserved, at the end of a planned stop: to a home of
+/// Returns all tokens that no request has reserved, at the end of a planned stop: to the home of
 /// each account, or to its record. Returns true if nothing is left.
 pub async fn return_shares<W: Wire, S: Store>(state: &State<W>, store: &S) -> bool {
     state.wallet.borrow_mut().close();
@@ -147,12 +157,7 @@
         if accounts.is_empty() {
             return true;
         }
-        let steps = accounts.iter().map(|account| step(state, store, account));
-        let done: Vec<Result<bool, StoreError>> = stream::iter(steps)
-            .buffer_unordered(CONCURRENT)
-            .collect()
-            .await;
-        if let Some(error) = done.into_iter().find_map(Result::err) {
+        if let Err(error) = step_all(state, store, &accounts).await {
             spdlog::warn!("shares_not_returned", kv: {
                 error = error.to_string(),
             });
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -251,7 +251,7 @@
             ids.push(record.id.clone());
         }
         let subset = |(service, ids): (ServiceId, Vec<TargetId>)| {
-            let subset = Subset::new(self.key, ids.into_iter());
+            let subset = Subset::new(self.key, ids);
             (service, subset)
         };
         self.subsets = ready.into_iter().map(subset).collect();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 //! cannot read them goes on with those that it knew, since its part of what all entries may do
 //! must not grow while it is cut off.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
 use cyc_types::{ClientAccountId, Millis, VmId, hash};
 use serde::{Deserialize, Serialize};
@@ -99,12 +99,6 @@
         }
     }
 
-    /// Sets where other entries reach this one.
-    pub fn with_addr(mut self, addr: SocketAddr) -> Self {
-        self.sign.addr = Some(addr);
-        self
-    }
-
     /// Sets where other entries reach this one.
     pub fn set_addr(&mut self, addr: SocketAddr) {
         self.sign.addr = Some(addr);
@@ -188,24 +182,39 @@
         self.is_settled
     }
 
-    /// Returns the entries that may draw for an account, its home first, by rendezvous among
-    /// those that run and can be reached. All entries find the same ones, as soon as they have
-    /// read the same signs.
-    pub fn ranks(&self, account: &ClientAccountId) -> Vec<VmId> {
+    /// Returns the entries among which those that draw for an account are found: those that run
+    /// and can be reached.
+    fn drawers(&self) -> impl Iterator<Item = &VmId> {
         let others = self
             .known
             .values()
             .filter(|known| known.runs() && !known.sign.is_leaving && known.sign.addr.is_some());
         let others = others.map(|known| &known.sign.vm);
         let own = (!self.sign.is_leaving).then_some(&self.sign.vm);
-        let key = hash::stable(account.as_str().as_bytes());
-        let mut ranked: Vec<&VmId> = others.chain(own).collect();
-        ranked.sort_by_key(|vm| std::cmp::Reverse(hash::rendezvous(key, vm.as_str())));
+        others.chain(own)
+    }
+
+    /// Returns the entry that draws for an account, by rendezvous. All entries find the same one,
+    /// as soon as they have read the same signs.
+    pub fn home(&self, account: &ClientAccountId) -> Option<&VmId> {
+        self.drawers().min_by_key(rank_for(account))
+    }
+
+    /// Returns the entries that may draw for an account, its home first.
+    pub fn ranks(&self, account: &ClientAccountId) -> Vec<VmId> {
+        let mut ranked: Vec<&VmId> = self.drawers().collect();
+        ranked.sort_by_cached_key(rank_for(account));
         ranked.into_iter().take(RANKS).cloned().collect()
     }
 
     /// Returns true if this entry draws for the account.
     pub fn is_home(&self, account: &ClientAccountId) -> bool {
-        self.is_settled && self.ranks(account).first() == Some(&self.sign.vm)
+        self.is_settled && self.home(account) == Some(&self.sign.vm)
     }
 }
+
+/// Orders entries by their weights for an account, the largest first.
+fn rank_for(account: &ClientAccountId) -> impl Fn(&&VmId) -> Reverse<u64> {
+    let key = hash::stable(account.as_str().as_bytes());
+    move |vm| Reverse(hash::rendezvous(key, vm.as_str()))
+}
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -4,8 +4,8 @@
 //! than it has paid for, however entries are cut off or stopped. Tokens at an entry that dies
 //! count as used: what entries hold is what a kill can cost the account.
 //!
-//! Few entries draw for an account, its homes; the others borrow from them. So the writes of a
-//! record grow with the use of the account and not with the number of entries.
+//! One entry draws for an account, its home; the others borrow from it. So the writes of a record
+//! grow with the use of the account and not with the number of entries.
 
 use std::collections::BTreeMap;
 
--- a/crates/gateway/src/share/loan.rs
+++ b/crates/gateway/src/share/loan.rs
@@ -114,11 +114,10 @@
     fn need(&self, account: &ClientAccountId, now: Millis) -> Option<Need> {
         let least = self.waiting.iter().min()?.saturating_sub(self.free);
         let lack = self.wanted().saturating_sub(self.free);
-        let ahead = self.rate(now) * LOAN_COVER.get() as f64 / 1_000.0;
         (!lack.is_zero()).then(|| Need {
             account: account.clone(),
             least,
-            want: lack + Tokens::new(ahead as u64),
+            want: lack + self.expected(LOAN_COVER, now),
         })
     }
 }
@@ -216,8 +215,7 @@
             if purse.free.is_zero() || purse.pending.is_some() || role(account) != Role::Guest {
                 continue;
             }
-            let ahead = purse.rate(now) * GUEST_COVER.get() as f64 / 1_000.0;
-            let needed = purse.wanted() + Tokens::new(ahead as u64);
+            let needed = purse.wanted() + purse.expected(GUEST_COVER, now);
             let surplus = match self.is_closed {
                 true => purse.free,
                 false => purse.free.saturating_sub(needed),
--- a/crates/gateway/src/share/plan.rs
+++ b/crates/gateway/src/share/plan.rs
@@ -2,7 +2,7 @@
 
 use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
 
-use super::{COVER, Holder, Purse, Record, Wallet};
+use super::{Holder, Purse, Record, Wallet};
 
 /// A home keeps at most this part of what an account has left, in percent, so that requests find
 /// tokens while the store is away and a kill leaves most.
@@ -59,6 +59,20 @@
 }
 
 impl Move {
+    fn draw(drawn: Tokens) -> Self {
+        Self {
+            drawn,
+            ..Self::default()
+        }
+    }
+
+    fn back(returned: Tokens) -> Self {
+        Self {
+            returned,
+            ..Self::default()
+        }
+    }
+
     fn is_empty(self) -> bool {
         self.drawn.is_zero() && self.returned.is_zero()
     }
@@ -217,28 +231,18 @@
     fn next_move(&self, purse: &Purse, role: Role, now: Millis) -> Option<Move> {
         let (_, record) = purse.seen.as_ref()?;
         let paid = purse.paid.unwrap_or_default();
-        let step = if self.is_closed {
-            Move {
-                returned: purse.free,
-                ..Move::default()
-            }
-        } else {
-            match role {
-                Role::Home => self.home_move(purse, record, now),
-                Role::Guest if purse.draws(role, now) => {
-                    let ahead = purse.rate(now) * STAND_IN_COVER.get() as f64 / 1_000.0;
-                    let lack = purse.wanted().saturating_sub(purse.free);
-                    let drawn = match lack.is_zero() {
-                        true => Tokens::ZERO,
-                        false => lack + Tokens::new(ahead as u64),
-                    };
-                    Move {
-                        drawn: drawn.min(paid.saturating_sub(record.drawn)),
-                        returned: Tokens::ZERO,
-                    }
-                }
-                Role::Guest => Move::default(),
+        let step = match role {
+            _ if self.is_closed => Move::back(purse.free),
+            Role::Home => self.home_move(purse, record, now),
+            Role::Guest if purse.draws(role, now) => {
+                let lack = purse.wanted().saturating_sub(purse.free);
+                let drawn = match lack.is_zero() {
+                    true => Tokens::ZERO,
+                    false => lack + purse.expected(STAND_IN_COVER, now),
+                };
+                Move::draw(drawn.min(paid.saturating_sub(record.drawn)))
             }
+            Role::Guest => Move::default(),
         };
         (!step.is_empty() || self.is_correction_due(purse, record, now)).then_some(step)
     }
@@ -266,19 +270,13 @@
             purse.free < purse.wanted() || purse.free.get() < keep.get() * REFILL_PERCENT / 100;
         if is_low {
             let lack = wanted.saturating_sub(purse.free);
-            return Move {
-                drawn: lack.min(paid.saturating_sub(record.drawn)),
-                returned: Tokens::ZERO,
-            };
+            return Move::draw(lack.min(paid.saturating_sub(record.drawn)));
         }
         let surplus = purse
             .free
             .saturating_sub(wanted + Tokens::new(keep.get() / 2));
         let is_worth = surplus.get() > paid.get() / SURPLUS_PART;
-        Move {
-            drawn: Tokens::ZERO,
-            returned: if is_worth { surplus } else { Tokens::ZERO },
-        }
+        Move::back(if is_worth { surplus } else { Tokens::ZERO })
     }
 
     /// Returns what a home should keep. It does not depend on who holds what the account has left,
@@ -288,7 +286,7 @@
         let total = self.held_elsewhere(record) + purse.unspent() + left;
         let fair = Tokens::new(most_held(record, paid, total));
         let first = Tokens::new(paid.get() / FIRST_PART);
-        purse.cover(COVER, now).max(first).min(fair)
+        purse.cover(now).max(first).min(fair)
     }
 }
 
--- a/crates/gateway/src/share/purse.rs
+++ b/crates/gateway/src/share/purse.rs
@@ -65,7 +65,7 @@
         self.free + self.reserved.saturating_sub(self.running)
     }
 
-    pub(super) fn rate(&self, now: Millis) -> f64 {
+    fn rate(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.rated).get() as f64;
         self.rate * (-age / RATE_SPAN.get() as f64).exp()
     }
@@ -83,9 +83,14 @@
         }
     }
 
-    /// Returns what covers the expected use in `span`, and one more large request.
-    pub(super) fn cover(&self, span: Millis, now: Millis) -> Tokens {
+    /// Returns the use in `span` that the measured rate lets expect.
+    pub(super) fn expected(&self, span: Millis, now: Millis) -> Tokens {
         let expected = self.rate(now) * span.get() as f64 / 1_000.0;
-        Tokens::new(expected as u64) + self.largest.0
+        Tokens::new(expected as u64)
+    }
+
+    /// Returns what covers the expected use in [`COVER`], and one more large request.
+    pub(super) fn cover(&self, now: Millis) -> Tokens {
+        self.expected(COVER, now) + self.largest.0
     }
 }
--- a/crates/gateway/src/subset.rs
+++ b/crates/gateway/src/subset.rs
@@ -5,6 +5,8 @@
 //! of entry and target; together the entries reach all targets evenly. A common start of prompts
 //! has a group of targets besides that is the same for all entries, so that its homes are too.
 
+use std::cmp::Reverse;
+
 use cyc_types::{TargetId, hash};
 
 /// A service with at most this many targets is looked at whole.
@@ -15,27 +17,29 @@
 const GROUP: usize = 8;
 
 /// The targets of one service.
+///
+/// Invariant: empty if the service is looked at whole.
 #[derive(Debug, Clone, Default)]
 pub struct Subset {
     /// All targets by their hashes, in order.
     ring: Vec<(u64, TargetId)>,
-    /// This entry's part. Invariant: empty if the service is looked at whole.
+    /// This entry's part.
     own: Vec<TargetId>,
 }
 
 impl Subset {
     /// Creates the subset of an entry, which `key` tells from others.
-    pub fn new(key: u64, targets: impl Iterator<Item = TargetId>) -> Self {
-        let place = |id: TargetId| (hash::stable(id.as_str().as_bytes()), id);
-        let mut ring: Vec<(u64, TargetId)> = targets.map(place).collect();
-        ring.sort();
-        let mut own = Vec::new();
-        if ring.len() > WHOLE {
-            let weight = |id: &TargetId| hash::rendezvous(key, id.as_str());
-            own.extend(ring.iter().map(|(_, id)| id.clone()));
-            own.select_nth_unstable_by_key(SUBSET, |id| std::cmp::Reverse(weight(id)));
-            own.truncate(SUBSET);
+    pub fn new(key: u64, targets: Vec<TargetId>) -> Self {
+        if targets.len() <= WHOLE {
+            return Self::default();
         }
+        let place = |id: &TargetId| (hash::stable(id.as_str().as_bytes()), id.clone());
+        let mut ring: Vec<(u64, TargetId)> = targets.iter().map(place).collect();
+        ring.sort();
+        let weight = |id: &TargetId| Reverse(hash::rendezvous(key, id.as_str()));
+        let mut own = targets;
+        own.select_nth_unstable_by_key(SUBSET, weight);
+        own.truncate(SUBSET);
         Self { ring, own }
     }
 
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -15,7 +15,9 @@
 fn entries(count: usize) -> Vec<Peers> {
     let entry = |index| {
         let addr = format!("127.0.0.1:{}", 9_000 + index).parse().unwrap();
-        Peers::new(vm(index), 1).with_addr(addr)
+        let mut peers = Peers::new(vm(index), 1);
+        peers.set_addr(addr);
+        peers
     };
     (0..count).map(entry).collect()
 }
--- a/crates/gateway/tests/gateway/subset.rs
+++ b/crates/gateway/tests/gateway/subset.rs
@@ -20,7 +20,7 @@
 }
 
 fn subset(key: u64, count: usize) -> Subset {
-    Subset::new(key, (0..count).map(target))
+    Subset::new(key, (0..count).map(target).collect())
 }
 
 #[gtest]
