The log line of a request takes its sends from one place

After a repeat the line names the target, the estimate and the tokens of the last send, as the field says; before it kept those of the first.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -238,7 +238,7 @@
     let bill = reserve(state, &accepted).await?;
     let mut attempts = Attempts::new(state.clone(), accepted, bill);
     let opened = attempts.open(None).await;
-    copy_trace(&attempts, trace);
+    attempts.note(&mut trace.borrow_mut());
     let opened = opened?;
     let mut line = trace.take();
     let response = stream::respond(attempts, opened, &mut line).await;
@@ -246,16 +246,6 @@
     response
 }
 
-fn copy_trace<W: Wire>(attempts: &Attempts<W>, trace: &RefCell<Trace>) {
-    let mut trace = trace.borrow_mut();
-    trace.sends = attempts.sends;
-    trace.estimate = attempts.estimate.get();
-    trace.billed = attempts.bill.used().get();
-    if let Some(target) = attempts.tried.last() {
-        trace.target = target.as_str().into();
-    }
-}
-
 /// Checks the head: configuration, route, key and the fields that decisions need.
 fn accept<W: Wire>(
     state: &State<W>,
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use super::{Accepted, Bill, retry_after};
+use super::{Accepted, Bill, Trace, retry_after};
 use crate::{
     choose::Choice,
     config::{RouteKind, Service},
@@ -159,6 +159,16 @@
         }
     }
 
+    /// Notes in the log line what the sends came to so far.
+    pub fn note(&self, trace: &mut Trace) {
+        trace.sends = self.sends;
+        trace.estimate = self.estimate.get();
+        trace.billed = self.bill.used().get();
+        if let Some(target) = self.tried.last() {
+            trace.target = target.as_str().into();
+        }
+    }
+
     /// Returns true if the request may be sent to one more target after it may have run.
     pub fn may_repeat(&self) -> bool {
         self.accepted.route.kind.is_repeatable() && self.sends < self.accepted.route.attempts
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -68,8 +68,9 @@
                 if !attempts.may_repeat() || !attempts.take_repeat() {
                     return Err(Refusal::new(ErrorKind::AnswerIncomplete, why));
                 }
-                opened = attempts.open(None).await?;
-                trace.sends = attempts.sends;
+                let reopened = attempts.open(None).await;
+                attempts.note(trace);
+                opened = reopened?;
             }
         }
     }
@@ -125,7 +126,7 @@
     if is_failure && attempts.may_repeat() && attempts.take_repeat() {
         let again = attempts.open(None).await;
         if let Ok(opened) = again {
-            trace.sends = attempts.sends;
+            attempts.note(trace);
             return Box::pin(whole(attempts, opened, trace)).await;
         }
     }
@@ -134,8 +135,7 @@
     head.headers.remove(header::CONTENT_LENGTH);
     let arrived = attempts.accepted.arrived;
     trace.first = attempts.state.now().saturating_sub(arrived).get();
-    trace.sends = attempts.sends;
-    trace.billed = attempts.bill.used().get();
+    attempts.note(trace);
     log_end(&attempts.state, trace, arrived, head.status, "answered", "");
     Ok(Response::from_parts(head, Reply::Whole(Some(body))))
 }
@@ -166,7 +166,7 @@
         if self.is_refused {
             return;
         }
-        self.trace.billed = self.attempts.bill.used().get();
+        self.attempts.note(&mut self.trace);
         log_end(
             &self.attempts.state,
             &self.trace,
@@ -282,7 +282,6 @@
         }
         let opened = self.attempts.open(self.last_id).await;
         let opened = opened.map_err(|refusal| refusal.detail.to_string())?;
-        self.trace.sends = self.attempts.sends;
         if !opened.head.status.is_success() {
             return Err(format!("the next target answered {}", opened.head.status));
         }
@@ -346,6 +345,7 @@
                 ErrorKind::AnswerIncomplete
             };
             relay.is_refused = true;
+            relay.attempts.note(&mut relay.trace);
             *trace = std::mem::take(&mut relay.trace);
             let failure = Refusal::new(kind, relay.detail.clone());
             return Err(Broken::Failed(failure));
