One growing pause for retries

Pause in gateway and Backoff in member were the same steps with the same jitter. Backoff now stands in cyc-types, without the sleep, and Pause adds its count of failures.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 
-use cyc_member::Backoff;
 use cyc_proto::{
     LinkError,
     sidecar::{OutcomeQuery, OutcomeReply, RunReply, RunRequest, SidecarClient as _},
 };
-use cyc_types::{Clock, ErrorKind, Incarnation, Millis, Refusal, TargetId};
+use cyc_types::{Backoff, Clock, ErrorKind, Incarnation, Millis, Refusal, TargetId};
 
 use crate::fleet::Sidecar;
 
@@ -100,7 +99,7 @@
         if clock.now() >= until {
             return Outcome::Unknown(why);
         }
-        backoff.wait().await;
+        tokio::time::sleep(backoff.next_wait().duration()).await;
     }
 }
 
--- a/crates/entry/src/control/contacts.rs
+++ b/crates/entry/src/control/contacts.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use cyc_member::{Backoff, contacts};
+use cyc_member::contacts;
 use cyc_store::Platform;
-use cyc_types::{Incarnation, Millis, TargetId};
+use cyc_types::{Backoff, Incarnation, Millis, TargetId};
 
 use crate::app::App;
 
@@ -34,7 +34,7 @@
             }
             Err(error) => {
                 spdlog::warn!("contacts_not_recorded", kv: { error = error.to_string() });
-                backoff.wait().await;
+                tokio::time::sleep(backoff.next_wait().duration()).await;
             }
         }
     }
--- a/crates/entry/src/control/follow.rs
+++ b/crates/entry/src/control/follow.rs
@@ -3,13 +3,12 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use cyc_config::{LoadError, Revised as _, Snapshot, store};
-use cyc_member::Backoff;
 use cyc_proto::{
     Link,
     peer::{ConfigRequest, PeerClient as _},
 };
 use cyc_store::{Kind, Platform};
-use cyc_types::{Millis, ProcessKey, Version};
+use cyc_types::{Backoff, Millis, ProcessKey, Version};
 
 use crate::{app::App, fleet::Place};
 
@@ -50,7 +49,7 @@
             }
             Err(error) => {
                 spdlog::warn!("config_not_read", kv: { error = error.to_string() });
-                backoff.wait().await;
+                tokio::time::sleep(backoff.next_wait().duration()).await;
             }
         }
     }
--- a/crates/entry/src/forward/answer.rs
+++ b/crates/entry/src/forward/answer.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use cyc_member::Backoff;
 use cyc_proto::sidecar::{CancelRequest, Frame, SidecarClient as _};
-use cyc_types::{ErrorKind, Millis, Outcome as Ran, Refusal};
+use cyc_types::{Backoff, ErrorKind, Millis, Outcome as Ran, Refusal};
 
 use super::{Driver, Step};
 use crate::{
@@ -74,7 +73,7 @@
                     if self.app.clock.now().saturating_sub(since) >= LOST_WAIT {
                         return Relayed::Lost(why);
                     }
-                    backoff.wait().await;
+                    tokio::time::sleep(backoff.next_wait().duration()).await;
                 }
                 Ok(Ok(frames)) => {
                     lost_since = None;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -13,7 +13,7 @@
 pub use signs::follow_entries;
 pub use targets::follow_targets;
 
-use cyc_types::Millis;
+use cyc_types::{Backoff, Millis};
 
 /// How long one watch waits: short, so that a connection that has gone silent is noticed before
 /// a change is due.
@@ -23,24 +23,32 @@
 /// The longest pause between calls to a store that does not answer.
 pub const PAUSE_MAX: Millis = Millis::new(400);
 
-/// The pause after failed calls: doubles from [`PAUSE_MIN`] to [`PAUSE_MAX`], with a random part
-/// so that entries do not call together.
-#[derive(Debug, Default)]
+/// The pause after failed calls, from [`PAUSE_MIN`] to [`PAUSE_MAX`].
+#[derive(Debug)]
 pub struct Pause {
+    backoff: Backoff,
     failures: u32,
 }
 
+impl Default for Pause {
+    fn default() -> Self {
+        Self {
+            backoff: Backoff::new(PAUSE_MIN, PAUSE_MAX),
+            failures: 0,
+        }
+    }
+}
+
 impl Pause {
     /// Notes a call that was answered, and returns the number of failures before it.
     pub fn reset(&mut self) -> u32 {
+        self.backoff.reset();
         std::mem::take(&mut self.failures)
     }
 
     /// Notes a failure and returns how long to wait.
     pub fn grow(&mut self) -> Millis {
-        let base = PAUSE_MIN.get() << self.failures.min(8);
         self.failures += 1;
-        let base = base.min(PAUSE_MAX.get());
-        Millis::new(base / 2 + rand::random_range(0..=base / 2))
+        self.backoff.next_wait()
     }
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -3,12 +3,10 @@
 //! One object a role and VM; its number grows by one with each registration, so that no two
 //! starts share an [`cyc_types::Incarnation`].
 
-pub mod backoff;
 pub mod contacts;
 pub mod fence;
 pub mod registry;
 
-pub use backoff::Backoff;
 pub use contacts::Contacts;
 pub use fence::Fences;
 pub use registry::{Entry, Error, Member, Role, find, list, register};
--- a/crates/member/src/registry.rs
+++ b/crates/member/src/registry.rs
@@ -3,12 +3,10 @@
 use std::{fmt, net::SocketAddr};
 
 use cyc_store::{Error as PlatformError, Expect, Kind, Object, ObjectKey, Platform};
-use cyc_types::{AvailabilityZone, Incarnation, Millis, TargetId, VmId};
+use cyc_types::{AvailabilityZone, Backoff, Incarnation, Millis, TargetId, VmId};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
 
-use crate::backoff::Backoff;
-
 /// First wait before a registration is tried again.
 const FIRST_WAIT: Millis = Millis::new(50);
 /// Longest wait before a registration is tried again.
@@ -148,7 +146,9 @@
     loop {
         match try_register(platform, entry, nonce).await {
             Ok(Some(incarnation)) => return Ok(incarnation),
-            Ok(None) | Err(Error::Platform(_)) => backoff.wait().await,
+            Ok(None) | Err(Error::Platform(_)) => {
+                tokio::time::sleep(backoff.next_wait().duration()).await
+            }
             Err(malformed) => return Err(malformed),
         }
     }
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -3,13 +3,13 @@
 use std::{fmt, io, sync::Arc};
 
 use cyc_claim::{Committer, commit};
-use cyc_member::{Backoff, Entry as MemberEntry, Role, fence, register};
+use cyc_member::{Entry as MemberEntry, Role, fence, register};
 use cyc_orders::FenceCheck;
 use cyc_proto::{bind, serve, sidecar::SidecarServer as _};
 use cyc_route::{Pools, pool};
 use cyc_settings::{SidecarSettings, TargetKind};
 use cyc_store::{HttpPlatform, Platform};
-use cyc_types::{Clock, Incarnation, Millis};
+use cyc_types::{Backoff, Clock, Incarnation, Millis};
 
 use crate::{
     admission::{Options, Sidecar},
@@ -136,7 +136,7 @@
                 spdlog::warn!("fences_not_read", kv: { error = error.to_string() });
             }
         }
-        backoff.wait().await;
+        tokio::time::sleep(backoff.next_wait().duration()).await;
     }
 }
 
--- a/crates/member/src/backoff.rs
+++ b/crates/types/src/backoff.rs
@@ -1,6 +1,6 @@
 //! Waiting between retries, with jitter.
 
-use cyc_types::Millis;
+use crate::clock::Millis;
 
 /// A growing wait between retries: each at most twice the one before, with jitter.
 #[derive(Debug, Clone)]
@@ -27,11 +27,6 @@
         Millis::new(step / 2 + rand::random_range(0..=step / 2))
     }
 
-    /// Waits for the next step.
-    pub async fn wait(&mut self) {
-        tokio::time::sleep(self.next_wait().duration()).await;
-    }
-
     /// Starts again at the first step, after a success.
     pub fn reset(&mut self) {
         self.next = self.first;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O. Every newtype implements [`std::fmt::Display`] and
 //! [`std::str::FromStr`], and serializes as the text or number that it wraps.
 
+pub mod backoff;
 pub mod clock;
 pub mod error;
 pub mod hash;
@@ -10,6 +11,7 @@
 pub mod key;
 pub mod size;
 
+pub use backoff::Backoff;
 pub use clock::{Clock, Millis};
 pub use error::{ErrorKind, Outcome, Refusal};
 pub use id::{
