--- a/crates/cli/src/input.rs
+++ b/crates/cli/src/input.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, path::Path, str::FromStr};
 
 use cyc_settings::table::Allowed;
-use cyc_types::{ProcessKey, key::MIN_PROCESS_KEY_CHARS};
+use cyc_types::ProcessKey;
 
 use crate::output::{Exit, Output};
 
@@ -71,11 +71,6 @@
     text.trim().parse().map_err(|_| Error {
         field: "--key-file",
         value: path.display().to_string(),
-        allowed: format!(
-            "a readable file with {}",
-            Allowed::Secret {
-                min_chars: MIN_PROCESS_KEY_CHARS,
-            }
-        ),
+        allowed: format!("a readable file with {}", Allowed::Secret),
     })
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -201,7 +201,7 @@
         };
         let value = value.trim();
         let shown = match setting.allowed {
-            Allowed::Secret { .. } => None,
+            Allowed::Secret => None,
             _ => Some(value),
         };
         let id = (setting.section, setting.key);
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr};
 
-use cyc_types::{VmId, key::MIN_PROCESS_KEY_CHARS};
+use cyc_types::{ProcessKey, VmId, key::MIN_PROCESS_KEY_CHARS};
 use strum::Display;
 
 /// The daemons that read settings.
@@ -35,11 +35,8 @@
     },
     /// One of a few words.
     OneOf(&'static [&'static str]),
-    /// Visible ASCII characters that are never shown in errors.
-    Secret {
-        /// The fewest characters.
-        min_chars: usize,
-    },
+    /// A process key, which is never shown in errors.
+    Secret,
 }
 
 impl Allowed {
@@ -58,9 +55,7 @@
                 .parse::<u64>()
                 .is_ok_and(|number| (*min..=*max).contains(&number)),
             Self::OneOf(words) => words.contains(&value),
-            Self::Secret { min_chars } => {
-                value.len() >= *min_chars && value.bytes().all(|byte| byte.is_ascii_graphic())
-            }
+            Self::Secret => value.parse::<ProcessKey>().is_ok(),
         }
     }
 }
@@ -76,8 +71,11 @@
             Self::Addrs => f.write_str("IP numbers and ports with commas between them, or empty"),
             Self::Number { min, max } => write!(f, "a whole number from {min} to {max}"),
             Self::OneOf(words) => f.write_str(&words.join(" | ")),
-            Self::Secret { min_chars } => {
-                write!(f, "at least {min_chars} visible ASCII characters")
+            Self::Secret => {
+                write!(
+                    f,
+                    "at least {MIN_PROCESS_KEY_CHARS} visible ASCII characters"
+                )
             }
         }
     }
@@ -184,7 +182,7 @@
     row(BOTH, ("process", "drain_limit_ms"), LONG_MS, Default("600000"), "How long a graceful shutdown may wait for requests in flight."),
     row(BOTH, ("platform", "addr"), Allowed::Addr, Required, "The platform's HTTP address."),
     row(BOTH, ("platform", "timeout_ms"), WAIT_MS, Default("2000"), "Timeout of one platform call."),
-    row(BOTH, ("access", "process_key"), Allowed::Secret { min_chars: MIN_PROCESS_KEY_CHARS }, Required, "The key that all processes share."),
+    row(BOTH, ("access", "process_key"), Allowed::Secret, Required, "The key that all processes share."),
     row(BOTH, ("peers", "seeds"), Allowed::Addrs, Default(""), "RPC addresses of entries to ask while the platform is out."),
     row(ENTRY, ("budget", "policy"), Allowed::OneOf(&["equal", "fixed", "adaptive"]), Default("adaptive"), "How many tokens the entry draws in advance."),
     row(ENTRY, ("budget", "reserve_ms"), Allowed::Number { min: 0, max: TEN_MINUTES_MS }, Default("500"), "How long a request waits for tokens."),
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -4,7 +4,7 @@
     Allowed, Daemon, EntrySettings, Fault, GrantPolicy, LogLevel, Need, SETTINGS, Setting,
     SettingsError, SidecarSettings, TargetKind, table,
 };
-use cyc_types::Millis;
+use cyc_types::{Millis, key::MIN_PROCESS_KEY_CHARS};
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -161,7 +161,7 @@
             String::new(),
         ],
         Allowed::OneOf(_) => vec!["other".into(), "TRUE".into(), String::new()],
-        Allowed::Secret { min_chars } => vec!["x".repeat(min_chars - 1), "x y".repeat(9)],
+        Allowed::Secret => vec!["x".repeat(MIN_PROCESS_KEY_CHARS - 1), "x y".repeat(9)],
     }
 }
 
@@ -179,7 +179,7 @@
                 text,
                 contains_substring(format!("[{}] {}", setting.section, setting.key))
             );
-            let secret = matches!(setting.allowed, Allowed::Secret { .. });
+            let secret = matches!(setting.allowed, Allowed::Secret);
             let shown = text.contains(&format!("= `{value}`"));
             expect_that!(shown, eq(!secret), "{text}");
         }
