Plots share one crate, and the command one writer of them

The model's plot repeated sizes, error and frame of the plot of burn rates, and the command wrote both files by the same lines.

--- a/crates/burn/src/plot.rs
+++ b/crates/burn/src/plot.rs
@@ -1,9 +1,8 @@
 //! The plot of the burn rates.
 
-use std::fmt;
-
 use cyc_config::Objective;
 use cyc_ledger::level::MINUTE;
+use cyc_plot::{Area, LABEL_AREA, MARGIN, PlotError, TEXT};
 use cyc_proto::sidecar::RouteClass;
 use cyc_types::Millis;
 use plotters::prelude::*;
@@ -14,14 +13,6 @@
     report::Options,
 };
 
-/// Width and height of the picture in pixels.
-const SIZE: (u32, u32) = (960, 480);
-/// Margin around the chart in pixels.
-const MARGIN: u32 = 16;
-/// Room for the labels of the axes in pixels.
-const LABEL_AREA: u32 = 52;
-/// Size of the text in pixels.
-const TEXT: u32 = 15;
 /// Points of a line.
 const POINTS: u64 = 240;
 /// The y axis reaches at least here.
@@ -33,18 +24,6 @@
 /// Milliseconds of an hour, the unit of the x axis.
 const HOUR_MS: f64 = 3_600_000.0;
 
-/// Why a plot could not be drawn.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlotError(String);
-
-impl fmt::Display for PlotError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the plot cannot be drawn: {}", self.0)
-    }
-}
-
-impl std::error::Error for PlotError {}
-
 struct Line {
     class: RouteClass,
     /// Hours before now, and burn rate.
@@ -65,9 +44,7 @@
         .iter()
         .map(|objective| line(counts, objective, options, span))
         .collect();
-    let mut svg = String::new();
-    draw(&mut svg, &lines, span, options).map_err(|error| PlotError(error.to_string()))?;
-    Ok(svg)
+    cyc_plot::to_svg(|area| draw(area, &lines, span, options))
 }
 
 /// Returns how far back the plot goes: over the window, but not before the first count.
@@ -95,19 +72,17 @@
 }
 
 fn draw(
-    svg: &mut String,
+    area: &Area<'_>,
     lines: &[Line],
     span: Millis,
     options: &Options,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
-    area.fill(&WHITE)?;
     let left = -(span.get() as f64) / HOUR_MS;
     let rates = lines.iter().flat_map(|line| &line.points);
     let largest = rates.map(|(_, rate)| *rate).fold(0.0, f64::max);
     let top = (largest * HEADROOM).max(MIN_TOP);
     let minutes = options.short.get() / MINUTE.get();
-    let mut chart = ChartBuilder::on(&area)
+    let mut chart = ChartBuilder::on(area)
         .caption("Burn rate of the error budgets", ("sans-serif", TEXT + 5))
         .margin(MARGIN)
         .x_label_area_size(LABEL_AREA)
@@ -144,6 +119,5 @@
         .border_style(BLACK)
         .label_font(("sans-serif", TEXT))
         .draw()?;
-    area.present()?;
     Ok(())
 }
--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -1,11 +1,6 @@
 //! The report on service levels.
 
-use std::{
-    fmt,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    str::FromStr,
-};
+use std::{fmt, net::SocketAddr, path::PathBuf, str::FromStr};
 
 use cyc_burn::{Counts, Options, report};
 use cyc_config::{LoadError, Objective, store};
@@ -14,7 +9,7 @@
 use serde_json::json;
 
 use crate::{
-    output::{Exit, Output},
+    output::{Exit, Output, write_plot},
     spend::platform_error,
 };
 
@@ -81,7 +76,7 @@
     let now = Clock::System.wall();
     let options = Options::new(now).with_window(window.map(Window::span));
     if let Some(file) = file
-        && let Err(output) = write_plot(&file, &counts, &objectives, &options)
+        && let Err(output) = write_plot(&file, cyc_burn::plot(&counts, &objectives, &options))
     {
         return output;
     }
@@ -109,17 +104,3 @@
     let counts = counts.map_err(|error| platform_error(addr, &error))?;
     Ok((snapshot.services.objectives.clone(), counts))
 }
-
-fn write_plot(
-    file: &Path,
-    counts: &Counts,
-    objectives: &[Objective],
-    options: &Options,
-) -> Result<(), Output> {
-    let svg = cyc_burn::plot(counts, objectives, options)
-        .map_err(|error| Output::error(Exit::Refused, error.to_string()))?;
-    std::fs::write(file, svg).map_err(|error| {
-        let why = format!("{}: cannot be written: {error}", file.display());
-        Output::error(Exit::Usage, why)
-    })
-}
--- a/crates/cli/src/experiment.rs
+++ b/crates/cli/src/experiment.rs
@@ -1,17 +1,17 @@
 //! Experiments with the model of the systems that entries serve.
 
-use std::{fmt, path::Path, str::FromStr};
+use std::{fmt, str::FromStr};
 
 use cyc_model::{
     Policy, Scenario,
-    experiment::{self, Options, Outcome},
-    plot, report,
+    experiment::{self, Options},
+    plot,
 };
 use strum::IntoEnumIterator as _;
 
 use crate::{
     flags::Experiment,
-    output::{Exit, Output},
+    output::{Exit, Output, write_plot},
 };
 
 /// Seeds that each policy plays unless told otherwise: enough to see how they differ.
@@ -70,7 +70,7 @@
     let policies = flags.policies.clone().unwrap_or_else(all).0;
     let outcome = experiment::run(&scenario, &Options { policies, seeds });
     if let Some(file) = &flags.plot
-        && let Err(output) = write_plot(file, &outcome)
+        && let Err(output) = write_plot(file, plot::plot(&outcome))
     {
         return output;
     }
@@ -80,12 +80,3 @@
     };
     Output::new(Exit::Ok, text)
 }
-
-fn write_plot(file: &Path, outcome: &Outcome) -> Result<(), Output> {
-    let svg = plot::plot(outcome, report::WINDOW_MS as f64 / 1_000.0)
-        .map_err(|error| Output::error(Exit::Refused, error.to_string()))?;
-    std::fs::write(file, svg).map_err(|error| {
-        let why = format!("{}: cannot be written: {error}", file.display());
-        Output::error(Exit::Usage, why)
-    })
-}
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,6 +1,6 @@
 //! What a command leaves behind.
 
-use std::process::ExitCode;
+use std::{fmt, path::Path, process::ExitCode};
 
 /// The exit codes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,3 +67,18 @@
         self.exit.into()
     }
 }
+
+/// Writes a plot to a file.
+///
+/// # Errors
+/// The output for a plot that could not be drawn or written.
+pub(crate) fn write_plot<E: fmt::Display>(
+    file: &Path,
+    svg: Result<String, E>,
+) -> Result<(), Output> {
+    let svg = svg.map_err(|error| Output::error(Exit::Refused, error.to_string()))?;
+    std::fs::write(file, svg).map_err(|error| {
+        let why = format!("{}: cannot be written: {error}", file.display());
+        Output::error(Exit::Usage, why)
+    })
+}
--- a/crates/model/src/plot.rs
+++ b/crates/model/src/plot.rs
@@ -1,57 +1,29 @@
 //! The plot of an experiment: the part earned over time, one line a policy.
 
-use std::fmt;
-
+use cyc_plot::{Area, LABEL_AREA, MARGIN, PlotError, TEXT};
 use plotters::prelude::*;
 
-use crate::experiment::Outcome;
+use crate::{experiment::Outcome, report::WINDOW_MS};
 
-/// Width and height of the picture in pixels.
-const SIZE: (u32, u32) = (960, 480);
-/// Margin around the chart in pixels.
-const MARGIN: u32 = 16;
-/// Room for the labels of the axes in pixels.
-const LABEL_AREA: u32 = 52;
-/// Size of the text in pixels.
-const TEXT: u32 = 15;
 /// Length of a line's sample in the legend, in pixels.
 const SAMPLE: i32 = 18;
 
-/// Why a plot could not be drawn.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlotError(String);
-
-impl fmt::Display for PlotError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the plot cannot be drawn: {}", self.0)
-    }
-}
-
-impl std::error::Error for PlotError {}
-
 /// Draws the part earned by the requests of each window, as SVG.
 ///
 /// # Errors
 /// [`PlotError`] if the library fails.
-pub fn plot(outcome: &Outcome, window_s: f64) -> Result<String, PlotError> {
-    let mut svg = String::new();
-    draw(&mut svg, outcome, window_s).map_err(|error| PlotError(error.to_string()))?;
-    Ok(svg)
+pub fn plot(outcome: &Outcome) -> Result<String, PlotError> {
+    cyc_plot::to_svg(|area| draw(area, outcome))
 }
 
-fn draw(
-    svg: &mut String,
-    outcome: &Outcome,
-    window_s: f64,
-) -> Result<(), Box<dyn std::error::Error>> {
+fn draw(area: &Area<'_>, outcome: &Outcome) -> Result<(), Box<dyn std::error::Error>> {
+    let window_s = WINDOW_MS as f64 / 1_000.0;
     let windows = outcome
         .rows
         .iter()
         .map(|(_, summary)| summary.windows.len());
     let end_s = windows.max().unwrap_or(1) as f64 * window_s;
-    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
-    area.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&area)
+    let mut chart = ChartBuilder::on(area)
         .margin(MARGIN)
         .x_label_area_size(LABEL_AREA)
         .y_label_area_size(LABEL_AREA)
@@ -77,6 +49,5 @@
         .background_style(WHITE)
         .border_style(BLACK)
         .draw()?;
-    area.present()?;
     Ok(())
 }
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -12,7 +12,7 @@
 };
 
 /// Length of the windows of which the worst one is told, in ms.
-pub const WINDOW_MS: u64 = 2_000;
+pub(crate) const WINDOW_MS: u64 = 2_000;
 /// Significant digits of the histograms.
 const DIGITS: u8 = 3;
 /// The longest time that a histogram tells apart, in ms.
--- a/crates/model/tests/model/experiment.rs
+++ b/crates/model/tests/model/experiment.rs
@@ -72,7 +72,7 @@
 #[gtest]
 fn the_plot_has_a_line_for_each_policy() {
     let outcome = compare("steady", &[Policy::LeastLoaded, Policy::Product]);
-    let svg = plot::plot(&outcome, 2.0).unwrap();
+    let svg = plot::plot(&outcome).unwrap();
     expect_that!(svg, contains_substring("least_loaded"));
     expect_that!(svg, contains_substring("product"));
 }
