The model takes the product's constants, and scenarios add to a base

Three constants of the product stood in the model as copies that could drift. Zones are compared by number.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -28,7 +28,7 @@
 /// Parts remembered per target.
 const CACHED_MAX: usize = 4_096;
 /// A report of load older than this says nothing.
-const LOAD_FOR: Millis = Millis::new(1_500);
+pub const LOAD_FOR: Millis = Millis::new(1_500);
 /// Fixed part of the time to the first token, so that small prompts do not look slow.
 const BASE_MS: f64 = 100.0;
 /// Time constant of the measured rate of reading.
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -23,7 +23,7 @@
 
 mod attempt;
 
-pub use attempt::{Attempts, Opened};
+pub use attempt::{Attempts, MAX_CONNECTS, Opened, RETRY_AFTER_TARGET};
 
 /// The part of the objective that a request may wait here for tokens, as a divisor: callers are
 /// better served by a quick refusal than by a longer wait.
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -20,9 +20,9 @@
 };
 
 /// Targets that one request tries to reach; a failed connection sends nothing.
-const MAX_CONNECTS: u32 = 4;
+pub const MAX_CONNECTS: u32 = 4;
 /// Base of the advice when to come back if no target takes the request.
-const RETRY_AFTER_TARGET: Millis = Millis::new(350);
+pub const RETRY_AFTER_TARGET: Millis = Millis::new(350);
 /// The part of a target's connections that entries use, in percent: their number is known with a
 /// delay, and a target accepts fewer while many requests wait there.
 const CONNECTIONS_PERCENT: u64 = 90;
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -8,7 +8,7 @@
 use cyc_gateway::{
     call::Prompt,
     choose::{Choice, Options},
-    fleet::{Fleet, Load, Read, Verdict, Wanted},
+    fleet::{Fleet, LOAD_FOR, Load, Read, Verdict, Wanted},
     member::{Record, TargetState},
     repeat::{self, Repeats},
 };
@@ -24,9 +24,6 @@
 /// The span over which repeats are counted.
 const REPEAT_WINDOW: Millis = Millis::new(10_000);
 
-/// A report older than this says nothing to the baselines, as in the product.
-const REPORT_FOR: Millis = Millis::new(1_500);
-
 /// How targets are chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString, EnumIter)]
 #[strum(serialize_all = "snake_case")]
@@ -91,7 +88,7 @@
 impl Known {
     fn load(&self, now: Millis) -> u32 {
         let (load, at) = self.reported;
-        match now.saturating_sub(at) <= REPORT_FOR {
+        match now.saturating_sub(at) <= LOAD_FOR {
             true => load.max(self.in_flight),
             false => self.in_flight,
         }
@@ -230,9 +227,13 @@
     }
 }
 
-/// Returns the availability zone of the entry or target with this number.
-pub fn zone(scenario: &Scenario, number: usize) -> AvailabilityZone {
-    id(&format!("zone-{}", number % scenario.zones))
+/// Returns the number of the availability zone of the entry or target with this number.
+pub fn zone_number(scenario: &Scenario, number: usize) -> usize {
+    number % scenario.zones
+}
+
+fn zone(scenario: &Scenario, number: usize) -> AvailabilityZone {
+    id(&format!("zone-{}", zone_number(scenario, number)))
 }
 
 fn records(scenario: &Scenario) -> Vec<Record> {
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -1,5 +1,5 @@
 //! Scenario files: INI with the sections `[model]`, `[engines]`, `[service]`, `[kind NAME]` and
-//! `[trouble NAME]`.
+//! `[trouble NAME]`. With `[base]` and `file = NAME` they add to another file of their folder.
 
 use std::{fmt, path::Path, str::FromStr};
 
@@ -203,9 +203,16 @@
     /// # Errors
     /// The first fault of the file.
     pub fn load(path: &Path) -> Result<Self, ScenarioError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| ScenarioError::Unreadable(format_smolstr!("{error}")))?;
-        Self::parse(&text)
+        let text = read(path)?;
+        let ini = parse_ini(&text)?;
+        let base = ini.section(Some(BASE)).and_then(|base| base.get("file"));
+        match base {
+            Some(base) => {
+                let base = read(&path.with_file_name(base))?;
+                Self::parse(&format!("{base}\n{text}"))
+            }
+            None => Self::parse(&text),
+        }
     }
 
     /// Reads `text`.
@@ -213,8 +220,7 @@
     /// # Errors
     /// The first fault of the text.
     pub fn parse(text: &str) -> Result<Self, ScenarioError> {
-        let ini = Ini::load_from_str(text)
-            .map_err(|error| ScenarioError::Syntax(format_smolstr!("{error}")))?;
+        let ini = parse_ini(text)?;
         let mut kinds = Vec::new();
         let mut troubles = Vec::new();
         for (name, properties) in &ini {
@@ -223,7 +229,7 @@
             match name.split_once(' ') {
                 Some(("kind", kind)) => kinds.push(section.kind(kind)?),
                 Some(("trouble", _)) => troubles.push(section.trouble()?),
-                None if matches!(name, "model" | "engines" | "service") => {}
+                None if matches!(name, BASE | "model" | "engines" | "service") => {}
                 _ => return Err(ScenarioError::Section(name.into())),
             }
         }
@@ -252,6 +258,18 @@
     }
 }
 
+/// The section that names the file to which a scenario adds.
+const BASE: &str = "base";
+
+fn read(path: &Path) -> Result<String, ScenarioError> {
+    std::fs::read_to_string(path)
+        .map_err(|error| ScenarioError::Unreadable(format_smolstr!("{}: {error}", path.display())))
+}
+
+fn parse_ini(text: &str) -> Result<Ini, ScenarioError> {
+    Ini::load_from_str(text).map_err(|error| ScenarioError::Syntax(format_smolstr!("{error}")))
+}
+
 /// One section of the file.
 struct Section<'a> {
     name: &'a str,
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -5,6 +5,7 @@
 use cyc_gateway::{
     choose::Choice,
     fleet::{Load, Read, Verdict},
+    proxy::{MAX_CONNECTS, RETRY_AFTER_TARGET},
 };
 use cyc_types::Millis;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng, seq::SliceRandom as _};
@@ -19,10 +20,6 @@
     traffic::{self, Request},
 };
 
-/// Targets that one request tries to reach, as in the product.
-const MAX_CONNECTS: u32 = 4;
-/// Base of the advice when to come back; up to as much again is added, as in the product.
-const RETRY_AFTER_MS: f64 = 350.0;
 /// After a refusal, a caller of a retry storm comes back in this time.
 const STORM_MS: f64 = 20.0;
 /// Tells the random numbers of the run from those of its requests.
@@ -127,15 +124,9 @@
         for (index, trouble) in scenario.troubles.iter().enumerate() {
             let at_ms = trouble.at.get() as f64;
             let end_ms = at_ms + trouble.span.get() as f64;
-            queue.add(
-                at_ms,
-                Event::Trouble {
-                    index,
-                    begins: true,
-                },
-            );
-            let begins = false;
-            queue.add(end_ms, Event::Trouble { index, begins });
+            for (at_ms, begins) in [(at_ms, true), (end_ms, false)] {
+                queue.add(at_ms, Event::Trouble { index, begins });
+            }
         }
         let engine = || EngineState {
             engine: Engine::new(scenario.engines.clone()),
@@ -238,7 +229,7 @@
     fn hop_ms(&self, send: usize) -> f64 {
         let send = &self.sends[send];
         let entry = self.requests[send.request].entry;
-        let zone = |number| entry::zone(self.scenario, number);
+        let zone = |number| entry::zone_number(self.scenario, number);
         match zone(entry) == zone(send.target) {
             true => 0.0,
             false => self.scenario.zone_ms,
@@ -281,7 +272,8 @@
         }
         progress.returns += 1;
         let pause_ms = match storm {
-            0 => RETRY_AFTER_MS * (1.0 + self.rng.random::<f64>()),
+            // As the product spreads it.
+            0 => RETRY_AFTER_TARGET.get() as f64 * (1.0 + self.rng.random::<f64>()),
             _ => STORM_MS,
         };
         let after_ms = pause_ms + 2.0 * self.scenario.caller_ms;
@@ -384,7 +376,7 @@
         let answer = Answer {
             kind: asked.kind,
             account: asked.account,
-            zone: asked.entry % self.scenario.zones,
+            zone: entry::zone_number(self.scenario, asked.entry),
             asked_ms: asked.at_ms,
             outcome,
             first_ms: progress.first_ms.map(|at_ms| at_ms - asked.at_ms),
--- a/crates/model/tests/model/scenario.rs
+++ b/crates/model/tests/model/scenario.rs
@@ -49,3 +49,13 @@
     let missing = Scenario::load(Path::new("no-such-file.ini"));
     expect_that!(missing, err(matches_pattern!(ScenarioError::Unreadable(_))));
 }
+
+#[gtest]
+fn a_scenario_adds_to_its_base() {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../etc/experiments");
+    let steady = Scenario::load(&dir.join("steady.ini")).unwrap();
+    let burst = Scenario::load(&dir.join("burst.ini")).unwrap();
+    expect_that!(burst.troubles, len(eq(1)));
+    let troubles = Vec::new();
+    expect_that!(Scenario { troubles, ..burst }, eq(&steady));
+}
