Prepaid tokens: borrowers keep nothing in advance, owners little of a scarce account

Entries that lacked tokens asked up to four others each time, and refused with "Unknown" although the owner had said why. Ruled out: recovery itself; owners draw within 0.3 s of the restart, the accounts are used up by then. Change: a loan covers what waiting requests lack, and half a second of use where that is more than one request; what is left over returns within a second, and all borrowers together may keep 1/200. Returned tokens are no use of the owner. The owner's answer ends the search for lenders; its reason, and how long the store has not answered it, decide what callers are told. Loans count as left only for the part that requests leave unused; an account whose record shows nothing left anywhere is exhausted until a top-up. Below 35 percent the owner holds at most 2 percent of the total. Callers refused during an outage are told to return at its expected end. One test gives an entry ten requests instead of one, since an entry that seldom uses an account now returns all.

--- a/crates/gateway/src/control/config.rs
+++ b/crates/gateway/src/control/config.rs
@@ -21,7 +21,7 @@
             None => store.configuration().await,
             Some(since) => store.next_configuration(since, WATCH_WAIT).await,
         };
-        match read {
+        match state.record_store_call(read) {
             Ok((config, version)) => {
                 let failures = retry_delay.reset();
                 if failures > 0 {
--- a/crates/gateway/src/control/loans.rs
+++ b/crates/gateway/src/control/loans.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
-use cyc_types::{ClientAccountId, Millis};
+use cyc_types::{Backoff, ClientAccountId, Millis};
 use futures::future::join_all;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -20,7 +20,7 @@
     conn::Pool,
     peers::Contact,
     port::Protocol,
-    prepaid::{LoanReply, LoanRequest, Role, Shortage, TokenDemand, TokenReturn},
+    prepaid::{LoanRefusal, LoanReply, LoanRequest, Role, Shortage, TokenDemand, TokenReturn},
     state::State,
 };
 
@@ -31,8 +31,11 @@
 const LOAN_TIMEOUT: Millis = Millis::new(110);
 /// An entry that did not respond is not called again for this long.
 const UNRESPONSIVE_BACKOFF: Millis = Millis::new(1_000);
-/// After all entries refused a loan for an account, none is asked for this long.
+/// After all entries refused a loan for an account, none is asked for about this long; the delay
+/// grows to [`NO_LOAN_BACKOFF_MAX`] with each further refusal.
 const NO_LOAN_BACKOFF: Millis = Millis::new(150);
+/// Maximum delay after refused loans.
+const NO_LOAN_BACKOFF_MAX: Millis = Millis::new(600);
 /// Maximum entries asked for one loan.
 const MAX_LENDERS_ASKED: usize = 4;
 /// Minimum time between two rounds, so that a burst of requests shares one round.
@@ -51,8 +54,36 @@
 pub struct PeerConnections {
     pools: HashMap<SocketAddr, Rc<Pool>>,
     unresponsive_until: HashMap<SocketAddr, Instant>,
-    /// Accounts for which no entry had a loan, and until when none is asked.
-    no_loan_until: HashMap<ClientAccountId, Instant>,
+    /// Accounts for which no entry had a loan.
+    no_loan: HashMap<ClientAccountId, NoLoan>,
+}
+
+/// Refused loans for an account.
+#[derive(Debug)]
+struct NoLoan {
+    /// No entry is asked before.
+    until: Instant,
+    backoff: Backoff,
+}
+
+impl PeerConnections {
+    /// Returns true if no loan for the account is requested at present, because none was granted.
+    fn is_waiting_for(&self, account: &ClientAccountId) -> bool {
+        is_in_future(self.no_loan.get(account).map(|no_loan| &no_loan.until))
+    }
+
+    /// Delays the next request for a loan for the account.
+    fn record_no_loan(&mut self, account: &ClientAccountId) {
+        let now = Instant::now();
+        let no_loan = self
+            .no_loan
+            .entry(account.clone())
+            .or_insert_with(|| NoLoan {
+                until: now,
+                backoff: Backoff::new(NO_LOAN_BACKOFF, NO_LOAN_BACKOFF_MAX),
+            });
+        no_loan.until = now + no_loan.backoff.next_delay().duration();
+    }
 }
 
 /// Why a call to another entry failed.
@@ -114,21 +145,48 @@
     until.is_some_and(|until| *until > Instant::now())
 }
 
-/// Asks the lenders of an account one after the other until the demand is covered.
+/// Asks the lenders of an account one after the other until the demand is covered, or an entry that
+/// draws for the account has refused.
 async fn borrow<P>(state: &State<P>, demand: &TokenDemand) {
-    if is_in_future(
-        state
-            .peer_connections
-            .borrow()
-            .no_loan_until
-            .get(&demand.account),
-    ) {
+    let account = demand.account.clone();
+    if state.peer_connections.borrow().is_waiting_for(&account) {
         return;
     }
+    let outcome = ask_lenders(state, demand.clone()).await;
+    let mut peer_connections = state.peer_connections.borrow_mut();
+    match outcome {
+        Asked::Lent => {
+            peer_connections.no_loan.remove(&account);
+        }
+        Asked::Refused | Asked::NoResponse => peer_connections.record_no_loan(&account),
+    }
+    drop(peer_connections);
+    if outcome == Asked::NoResponse {
+        // No other entry responds, but the store may be reachable.
+        let now = state.now();
+        state
+            .allocations
+            .borrow_mut()
+            .become_acting_owner(&account, now);
+        state.draw_requested.notify_one();
+    }
+    state.allocations_changed.notify_waiters();
+}
+
+/// Result of asking the lenders of an account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asked {
+    /// At least one lent tokens.
+    Lent,
+    /// Some responded, and none lent tokens.
+    Refused,
+    /// None responded.
+    NoResponse,
+}
+
+async fn ask_lenders<P>(state: &State<P>, mut demand: TokenDemand) -> Asked {
     let account = demand.account.clone();
-    let mut demand = demand.clone();
-    let mut has_no_loan = true;
-    let mut has_response = false;
+    let mut outcome = Asked::NoResponse;
     let owner = state.peers.borrow().owner(&account).cloned();
     let lenders = lenders(state, &account);
     // If the owner is not among the lenders, it is this entry or did not respond recently.
@@ -138,24 +196,32 @@
     };
     for lender in lenders {
         let is_owner = Some(&lender.vm) == owner.as_ref();
-        let reply = request_loan(state, &lender, &demand, is_owner || is_owner_unavailable).await;
+        let should_draw = is_owner || is_owner_unavailable;
+        let reply = request_loan(state, &lender, &demand, should_draw).await;
         if is_owner {
             is_owner_unavailable = reply.is_none_or(cannot_draw);
         }
         let Some(reply) = reply else { continue };
-        has_response = true;
-        if reply.short == Some(Shortage::Exhausted) {
+        if let Some(shortage) = reply.short {
             let now = state.now();
-            state
-                .allocations
-                .borrow_mut()
-                .record_exhausted(&demand, now);
-            break;
+            let refusal = LoanRefusal {
+                shortage,
+                store_outage: reply.store_outage,
+            };
+            let mut allocations = state.allocations.borrow_mut();
+            allocations.record_loan_refusal(&demand, refusal, now);
         }
         if reply.tokens.is_zero() {
+            if outcome == Asked::NoResponse {
+                outcome = Asked::Refused;
+            }
+            if should_draw && !cannot_draw(reply) {
+                // An entry that draws for the account knows best what is left.
+                return outcome;
+            }
             continue;
         }
-        has_no_loan = false;
+        outcome = Asked::Lent;
         state
             .allocations
             .borrow_mut()
@@ -166,26 +232,10 @@
         let rest = state.allocations.borrow().demand(&account, state.now());
         match rest {
             Some(rest) => demand = rest,
-            None => return,
+            None => return outcome,
         }
     }
-    if has_no_loan {
-        let until = Instant::now() + NO_LOAN_BACKOFF.duration();
-        let mut peer_connections = state.peer_connections.borrow_mut();
-        peer_connections
-            .no_loan_until
-            .insert(account.clone(), until);
-    }
-    if !has_response {
-        // No other entry responds, but the store may be reachable.
-        let now = state.now();
-        state
-            .allocations
-            .borrow_mut()
-            .become_acting_owner(&account, now);
-        state.draw_requested.notify_one();
-    }
-    state.allocations_changed.notify_waiters();
+    outcome
 }
 
 /// Returns true if the lender lent too little although, as far as it knows, the account may have
@@ -232,10 +282,11 @@
 /// unavailable. They are kept if the return was not sent, and lost if it got no response.
 pub async fn return_surplus<P>(state: &State<P>) {
     let role = |account: &ClientAccountId| state.role(account);
+    let entries = state.entries();
     let given = state
         .allocations
         .borrow_mut()
-        .return_surplus(role, state.now());
+        .return_surplus(role, entries, state.now());
     let returns = given.into_iter().map(async |(account, tokens)| {
         let Some(owner) = lenders(state, &account).into_iter().next() else {
             state.allocations.borrow_mut().borrow(&account, tokens);
@@ -351,7 +402,10 @@
         },
         RETURN_PATH => match read(state, &body, |token_return: &TokenReturn| &token_return.key) {
             Ok(token_return) => {
-                state.allocations.borrow_mut().accept_return(&token_return);
+                let now = state.now();
+                let mut allocations = state.allocations.borrow_mut();
+                allocations.accept_return(&token_return, now);
+                drop(allocations);
                 state.allocations_changed.notify_waiters();
                 reply(&())
             }
@@ -408,6 +462,7 @@
     let tokens = allocations.lend(request, now);
     let short = (tokens < request.least).then(|| allocations.shortage(account, request.least, now));
     drop(allocations);
+    let store_outage = state.store_health.borrow().outage(now);
     state.draw_requested.notify_one();
     spdlog::info!("loan_answered", kv: {
         account = account.as_str(),
@@ -417,7 +472,11 @@
         tokens = tokens.get(),
         shortage = short.map(|short| format!("{short:?}")).unwrap_or_default(),
     });
-    LoanReply { tokens, short }
+    LoanReply {
+        tokens,
+        short,
+        store_outage,
+    }
 }
 
 /// Waits while a draw can provide the requested tokens.
--- a/crates/gateway/src/control/prepaid.rs
+++ b/crates/gateway/src/control/prepaid.rs
@@ -34,6 +34,7 @@
         match result {
             Ok(Round::Idle) => {}
             Ok(Round::Done | Round::Conflicts) => {
+                state.store_health.borrow_mut().record_success();
                 let failures = retry_delay.reset();
                 state.prepaid_failures.set(0);
                 if failures > 0 {
@@ -42,6 +43,7 @@
             }
             Err(error) => {
                 let wait = retry_delay.next_delay();
+                state.store_health.borrow_mut().record_failure(state.now());
                 state.prepaid_failures.set(state.prepaid_failures.get() + 1);
                 spdlog::warn!("prepaid_store_failed", kv: {
                     error = error.to_string(),
@@ -84,7 +86,8 @@
     store: &S,
 ) -> Result<Round, StoreError> {
     let role = |account: &ClientAccountId| state.role(account);
-    let mut due = state.allocations.borrow().due(role, state.now());
+    let now = state.now();
+    let mut due = state.allocations.borrow().due(role, now);
     if due.is_empty() {
         return Ok(Round::Idle);
     }
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -40,7 +40,7 @@
                 () = sleep_until(expiry) => expire(&state),
             }
         };
-        match read {
+        match state.record_store_call(read) {
             Ok((changes, version)) => {
                 let failures = retry_delay.reset();
                 if failures > 0 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! An entry that connects to its targets directly over HTTP.
 //!
 //! Modules that decide without I/O: [`config`] selects the route and the account, [`member`] lists
-//! the targets, [`peers`] the running entries, [`prepaid`] manages prepaid tokens, [`fleet`] tracks
+//! the targets, [`peers`] the running entries, [`store_health`] whether the store answers, [`prepaid`] manages prepaid tokens, [`fleet`] tracks
 //! the state of each target, [`choose`] selects one of them, [`retry_budget`] limits retries, and
 //! [`event`] splits event streams. [`proxy`] takes a request through them, [`stream`] relays the
 //! response, [`control`] maintains the state, and [`port`] contains the traits for the protocol and
@@ -25,6 +25,7 @@
 pub mod serve;
 pub mod shutdown;
 pub mod state;
+pub mod store_health;
 pub mod stream;
 pub mod subset;
 
--- a/crates/gateway/src/prepaid.rs
+++ b/crates/gateway/src/prepaid.rs
@@ -20,7 +20,7 @@
 
 use allocation::Allocation;
 pub use allocation::DRAW_LOOKAHEAD;
-pub use loan::{LoanReply, LoanRequest, TokenDemand, TokenReturn};
+pub use loan::{LoanRefusal, LoanReply, LoanRequest, TokenDemand, TokenReturn};
 pub use plan::{REREAD_AFTER, RecordWrite, Role};
 
 /// What one entry last wrote about itself to a record.
@@ -102,7 +102,7 @@
         for (account, paid) in totals {
             let allocation = self.allocation(&account);
             allocation.paid = Some(paid);
-            allocation.exhausted = None;
+            allocation.refused_loan = None;
         }
     }
 
@@ -187,8 +187,8 @@
     /// Ends a reservation of which `used` tokens were spent; the rest becomes free.
     pub fn settle(&mut self, reservation: &Reservation, used: Tokens, now: Millis) {
         let allocation = self.allocation(&reservation.account);
-        allocation.record_size(reservation.tokens, now);
         let used = used.min(reservation.tokens);
+        allocation.record_request(used, reservation.tokens, now);
         allocation.reserved = allocation.reserved.saturating_sub(reservation.tokens);
         allocation.free += reservation.tokens.saturating_sub(used);
         allocation.record_use(used, now);
@@ -233,23 +233,39 @@
         let Some(allocation) = self.by_account.get(account) else {
             return Shortage::Unknown;
         };
-        let report = allocation.exhausted;
-        if report.is_some_and(|(least, until)| now < until && max_cost >= least) {
+        let refused = allocation.refused_loan(now);
+        if refused.is_some_and(|refused| refused.is_exhausted_for(max_cost)) {
             return Shortage::Exhausted;
         }
         let (Some((_, record)), Some(paid)) = (&allocation.last_record, allocation.paid) else {
-            return Shortage::Unknown;
+            return refused.map_or(Shortage::Unknown, |refused| {
+                match refused.refusal.shortage {
+                    // That holds only for requests at least as large as the refused one.
+                    Shortage::Exhausted => Shortage::Unknown,
+                    shortage => shortage,
+                }
+            });
         };
         let left = paid.saturating_sub(record.drawn);
         if left + allocation.free >= max_cost {
             return Shortage::Drawable;
         }
-        let elsewhere = self.held_elsewhere(record) + allocation.outstanding_loans(now);
-        let is_recent = now.saturating_sub(allocation.read_at) <= REREAD_AFTER;
-        if left + allocation.unspent() + elsewhere >= max_cost || !is_recent {
+        let elsewhere = self.held_elsewhere(record) + allocation.expected_returns(now);
+        let is_certain = now.saturating_sub(allocation.read_at) <= REREAD_AFTER
+            || self.is_exhausted_for_good(allocation);
+        if left + allocation.unspent() + elsewhere >= max_cost || !is_certain {
             Shortage::Elsewhere
         } else {
             Shortage::Exhausted
         }
     }
+
+    /// Returns true if the record shows that all tokens are drawn and no other entry has any that it
+    /// could return, so that only a top-up can change that.
+    fn is_exhausted_for_good(&self, allocation: &Allocation) -> bool {
+        let (Some((_, record)), Some(paid)) = (&allocation.last_record, allocation.paid) else {
+            return false;
+        };
+        record.drawn >= paid && self.held_elsewhere(record).is_zero()
+    }
 }
--- a/crates/gateway/src/prepaid/allocation.rs
+++ b/crates/gateway/src/prepaid/allocation.rs
@@ -4,12 +4,17 @@
 
 use cyc_types::{Millis, Tokens, Version, VmId};
 
-use super::{Record, RecordWrite, loan::Loan};
+use super::{
+    Record, RecordWrite,
+    loan::{Loan, RefusedLoan},
+};
 
 /// How long the largest recent request is remembered.
 const LARGEST_REQUEST_TTL: Millis = Millis::new(20_000);
 /// Time constant of the measured usage rate.
 const RATE_TIME_CONSTANT: Millis = Millis::new(3_000);
+/// Weight of a new request in the average of the used fraction.
+const USED_FRACTION_WEIGHT: f64 = 0.1;
 /// Owners hold tokens for the expected use in this time: outages of the store last up to 9 s.
 pub const DRAW_LOOKAHEAD: Millis = Millis::new(10_000);
 
@@ -26,8 +31,8 @@
     pub(super) waiting: Vec<Tokens>,
     /// When a request last found too few tokens.
     pub(super) short_at: Option<Millis>,
-    /// Another entry reported that fewer than these tokens are left; valid until the given time.
-    pub(super) exhausted: Option<(Tokens, Millis)>,
+    /// Why another entry last refused a loan.
+    pub(super) refused_loan: Option<RefusedLoan>,
     /// Loans that other entries may still hold.
     pub(super) loans: BTreeMap<VmId, Loan>,
     /// This entry is acting owner until then.
@@ -37,6 +42,8 @@
     rate_at: Millis,
     /// Maximum cost of the largest recent request, and when it ended.
     largest: (Tokens, Millis),
+    /// Fraction of their reserved tokens that requests use, averaged; zero before the first one.
+    pub(super) used_fraction: f64,
     /// The record as last read or written, with its version; no version if the record does not
     /// exist.
     pub(super) last_record: Option<(Option<Version>, Record)>,
@@ -78,7 +85,28 @@
         self.rate_at = now;
     }
 
-    pub(super) fn record_size(&mut self, max_cost: Tokens, now: Millis) {
+    /// Takes back a part of the recorded use.
+    pub(super) fn remove_use(&mut self, unused: Tokens, now: Millis) {
+        let span_s = RATE_TIME_CONSTANT.get() as f64 / 1_000.0;
+        self.rate = (self.rate(now) - unused.get() as f64 / span_s).max(0.0);
+        self.rate_at = now;
+    }
+
+    /// Maximum cost of the largest recent request; zero if there was none.
+    pub(super) fn largest_request(&self, now: Millis) -> Tokens {
+        let is_old = now.saturating_sub(self.largest.1) > LARGEST_REQUEST_TTL;
+        if is_old { Tokens::ZERO } else { self.largest.0 }
+    }
+
+    /// Records a finished request that used `used` of `max_cost` reserved tokens.
+    pub(super) fn record_request(&mut self, used: Tokens, max_cost: Tokens, now: Millis) {
+        if !used.is_zero() {
+            let fraction = used.get() as f64 / max_cost.get().max(1) as f64;
+            self.used_fraction = match self.used_fraction {
+                0.0 => fraction,
+                average => average + (fraction - average) * USED_FRACTION_WEIGHT,
+            };
+        }
         let is_old = now.saturating_sub(self.largest.1) > LARGEST_REQUEST_TTL;
         if is_old || max_cost >= self.largest.0 {
             self.largest = (max_cost, now);
--- a/crates/gateway/src/prepaid/loan.rs
+++ b/crates/gateway/src/prepaid/loan.rs
@@ -10,22 +10,23 @@
 
 use super::{Allocation, Allocations, Role, Shortage};
 
-/// A loan covers this much further use at the borrower, so that later requests need no loan of
-/// their own.
-const LOAN_LOOKAHEAD: Millis = Millis::new(2_000);
+/// A loan to a borrower that often uses the account covers this much further use, so that not every
+/// request needs a loan of its own. Tokens that borrowers hold serve no request elsewhere, and are
+/// lost when they are killed.
+const LOAN_LOOKAHEAD: Millis = Millis::new(500);
 /// A borrower returns tokens beyond its expected use in this time.
-const BORROWER_LOOKAHEAD: Millis = Millis::new(4_000);
-/// Divisor of the prepaid total; returning less than this fraction is not worth a message.
-const MIN_RETURN_DIVISOR: u64 = 2_000;
+const BORROWER_LOOKAHEAD: Millis = Millis::new(1_000);
+/// Divisor of the prepaid total: idle tokens that all borrowers together may keep because returning
+/// them is not worth a message.
+const IDLE_DIVISOR: u64 = 200;
 /// Divisor of the smallest useful loan; lending less than this fraction is not worth a message.
 const MIN_LOAN_DIVISOR: u64 = 8;
-/// Time constant with which borrowers are assumed to use up a loan, which covers
-/// [`LOAN_LOOKAHEAD`].
-const LOAN_DECAY: Millis = LOAN_LOOKAHEAD;
+/// Time constant with which borrowers are assumed to use up a loan.
+const LOAN_DECAY: Millis = Millis::new(2_000);
 /// How long an entry draws in place of an unavailable owner.
 const ACTING_OWNER_TERM: Millis = Millis::new(3_000);
-/// How long an account is treated as exhausted after another entry reported it.
-const EXHAUSTED_TTL: Millis = Millis::new(1_000);
+/// How long the reason of a refused loan counts as known.
+const LOAN_REFUSAL_TTL: Millis = Millis::new(1_000);
 
 /// Tokens of an account that waiting requests of this entry lack.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,6 +64,42 @@
     pub tokens: Tokens,
     /// Why less than the smallest useful loan was lent.
     pub short: Option<Shortage>,
+    /// How long the store has not answered the lender, if it does not.
+    #[serde(default)]
+    pub store_outage: Option<Millis>,
+}
+
+/// Why another entry refused a loan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoanRefusal {
+    /// Why the lender lacks tokens.
+    pub shortage: Shortage,
+    /// How long the store has not answered the lender, if it does not.
+    pub store_outage: Option<Millis>,
+}
+
+/// The last refusal of a loan for an account.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RefusedLoan {
+    pub(super) refusal: LoanRefusal,
+    /// Maximum cost of the request that lacked tokens.
+    max_cost: Tokens,
+    at: Millis,
+}
+
+impl RefusedLoan {
+    /// Returns true if the lender knew that fewer than `max_cost` tokens are left.
+    pub(super) fn is_exhausted_for(self, max_cost: Tokens) -> bool {
+        self.refusal.shortage == Shortage::Exhausted && max_cost >= self.max_cost
+    }
+}
+
+impl Allocation {
+    /// The last refusal of a loan, unless it is too old to tell anything.
+    pub(super) fn refused_loan(&self, now: Millis) -> Option<RefusedLoan> {
+        self.refused_loan
+            .filter(|refused| now.saturating_sub(refused.at) < LOAN_REFUSAL_TTL)
+    }
 }
 
 /// Unsolicited return of tokens, already debited from the sender.
@@ -95,9 +132,10 @@
 }
 
 impl Allocation {
-    /// Tokens lent by this entry that borrowers may still hold.
-    pub(super) fn outstanding_loans(&self, now: Millis) -> Tokens {
-        self.loans.values().map(|loan| loan.outstanding(now)).sum()
+    /// Tokens lent by this entry that borrowers will probably not use.
+    pub(super) fn expected_returns(&self, now: Millis) -> Tokens {
+        let outstanding: Tokens = self.loans.values().map(|loan| loan.outstanding(now)).sum();
+        Tokens::new((outstanding.get() as f64 * (1.0 - self.used_fraction)) as u64)
     }
 
     /// Tokens that this entry can spare for a borrower that lacks `least`. If waiting requests of
@@ -113,13 +151,23 @@
         }
     }
 
+    /// Tokens that a borrower holds in advance for its expected use in `span`. None if that is less
+    /// than one request: an entry that seldom uses an account would hold them idle.
+    fn float(&self, span: Millis, now: Millis) -> Tokens {
+        let expected_use = self.expected_use(span, now);
+        match expected_use >= self.largest_request(now) {
+            true => expected_use,
+            false => Tokens::ZERO,
+        }
+    }
+
     fn demand(&self, account: &ClientAccountId, now: Millis) -> Option<TokenDemand> {
         let least = self.waiting.iter().min()?.saturating_sub(self.free);
         let lack = self.total_waiting().saturating_sub(self.free);
         (!lack.is_zero()).then(|| TokenDemand {
             account: account.clone(),
             least,
-            want: lack + self.expected_use(LOAN_LOOKAHEAD, now),
+            want: lack + self.float(LOAN_LOOKAHEAD, now),
         })
     }
 }
@@ -193,19 +241,30 @@
     }
 
     /// Adds tokens that another entry returned.
-    pub fn accept_return(&mut self, token_return: &TokenReturn) {
+    pub fn accept_return(&mut self, token_return: &TokenReturn, now: Millis) {
         let allocation = self.allocation(&token_return.account);
         allocation.free += token_return.tokens;
+        // The loan was recorded as use.
+        allocation.remove_use(token_return.tokens, now);
         if let Some(loan) = allocation.loans.get_mut(&token_return.from) {
             loan.tokens = loan.tokens.saturating_sub(token_return.tokens);
         }
     }
 
-    /// Records another entry's report that the account is exhausted.
-    pub fn record_exhausted(&mut self, demand: &TokenDemand, now: Millis) {
+    /// Records why another entry refused a loan for the demand.
+    pub fn record_loan_refusal(&mut self, demand: &TokenDemand, refusal: LoanRefusal, now: Millis) {
         let allocation = self.allocation(&demand.account);
-        let max_cost = demand.least + allocation.free;
-        allocation.exhausted = Some((max_cost, now + EXHAUSTED_TTL));
+        allocation.refused_loan = Some(RefusedLoan {
+            refusal,
+            max_cost: demand.least + allocation.free,
+            at: now,
+        });
+    }
+
+    /// How long the store has not answered the entry that last refused a loan for the account.
+    pub fn lender_outage(&self, account: &ClientAccountId, now: Millis) -> Option<Millis> {
+        let refused = self.by_account.get(account)?.refused_loan(now)?;
+        refused.refusal.store_outage
     }
 
     /// Makes this entry the acting owner of the account for a limited time.
@@ -214,12 +273,15 @@
     }
 
     /// Debits the tokens that this entry does not need, or all free ones once it is closed, of
-    /// accounts that it does not own. The caller sends the resulting amounts to the owners.
+    /// accounts that it does not own. The caller sends the resulting amounts to the owners. Each of
+    /// the running `entries` may keep an equal part of the idle tokens that are not worth a message.
     pub fn return_surplus(
         &mut self,
         role: impl Fn(&ClientAccountId) -> Role,
+        entries: usize,
         now: Millis,
     ) -> Vec<(ClientAccountId, Tokens)> {
+        let divisor = IDLE_DIVISOR * entries.max(1) as u64;
         let mut given = Vec::new();
         for (account, allocation) in &mut self.by_account {
             if allocation.free.is_zero()
@@ -228,14 +290,13 @@
             {
                 continue;
             }
-            let needed =
-                allocation.total_waiting() + allocation.expected_use(BORROWER_LOOKAHEAD, now);
+            let needed = allocation.total_waiting() + allocation.float(BORROWER_LOOKAHEAD, now);
             let surplus = match self.is_closed {
                 true => allocation.free,
                 false => allocation.free.saturating_sub(needed),
             };
             let paid = allocation.paid.unwrap_or_default();
-            if self.is_closed || surplus.get() > paid.get() / MIN_RETURN_DIVISOR {
+            if self.is_closed || surplus.get() > paid.get() / divisor {
                 allocation.free = allocation.free.saturating_sub(surplus);
                 given.push((account.clone(), surplus));
             }
--- a/crates/gateway/src/prepaid/plan.rs
+++ b/crates/gateway/src/prepaid/plan.rs
@@ -8,17 +8,30 @@
 /// Maximum part of an account's remaining tokens that its owner holds, so that requests find tokens
 /// during an outage of the store and a kill loses little.
 const MAX_HELD_PERCENT: u64 = 15;
+/// Part of the prepaid total that the owner may hold, and a kill may lose, however little is left.
+const TOLERATED_LOSS_PERCENT: u64 = 2;
+/// While less than this part of the prepaid total is left, the owner holds no more than the
+/// tolerated loss: the account is likely to be used up, and then each lost token is missed.
+const PLENTY_PERCENT: u64 = 35;
+/// Part of the tokens beyond [`PLENTY_PERCENT`] that the owner may hold in addition.
+const PLENTY_HELD_PERCENT: u64 = 25;
 /// Part of the prepaid total that may be lost to kills; the owner holds at most what is left of it.
 const ACCEPTED_LOSS_PERCENT: u64 = 12;
 /// Part of the remaining tokens that the owner may hold even if that loss is reached.
 const REDUCED_HELD_PERCENT: u64 = 3;
 /// The owner draws when its free tokens fall below this part of the intended holding.
 const REFILL_PERCENT: u64 = 75;
+/// The same if the limit on what it may hold, and not the expected use, determines the holding: it
+/// would otherwise draw several times a second.
+const LIMITED_REFILL_PERCENT: u64 = 40;
 /// Divisor of the prepaid total: least that the owner intends to hold, and thereby the size of the
 /// first draw, before a usage rate is measured.
 const FIRST_DRAW_DIVISOR: u64 = 150;
 /// Divisor of the prepaid total; a smaller surplus is not worth a write of its own.
 const MIN_SURPLUS_DIVISOR: u64 = 100;
+/// Divisor of the prepaid total: an error of the record of an exhausted account that is not worth a
+/// correction.
+const MAX_ERROR_DIVISOR: u64 = 5_000;
 /// A draw of an acting owner covers this much further use.
 const ACTING_OWNER_LOOKAHEAD: Millis = Millis::new(2_000);
 /// While less than this part of the prepaid total is undrawn, each entry corrects its own holding
@@ -80,13 +93,30 @@
     }
 }
 
+/// Tokens that an owner intends to hold.
+#[derive(Debug, Clone, Copy)]
+struct Holding {
+    held: Tokens,
+    /// It draws when it has fewer free tokens.
+    refill_below: Tokens,
+}
+
 /// Maximum tokens that the owner holds of an account with `total` tokens left, whoever holds them.
-/// The limit falls as kills use up the accepted loss.
+/// The limit falls as the account is used up, and as kills use up the accepted loss.
 fn max_held(record: &Record, paid: Tokens, total: Tokens) -> u64 {
-    let remaining_loss =
-        (paid.get() * ACCEPTED_LOSS_PERCENT / 100).saturating_sub(record.lost.get());
-    let reduced = total.get() * REDUCED_HELD_PERCENT / 100;
-    (total.get() * MAX_HELD_PERCENT / 100).min(remaining_loss.max(reduced))
+    let percent = |tokens: u64, percent: u64| tokens * percent / 100;
+    let (paid, total) = (paid.get(), total.get());
+    let remaining_loss = percent(paid, ACCEPTED_LOSS_PERCENT).saturating_sub(record.lost.get());
+    let reduced = percent(total, REDUCED_HELD_PERCENT);
+    let plenty = total.saturating_sub(percent(paid, PLENTY_PERCENT));
+    let tolerated = percent(paid, TOLERATED_LOSS_PERCENT);
+    // The rest of a nearly exhausted account is drawn at once: ever smaller draws would be as many
+    // writes as requests.
+    let rest = total.min(tolerated.saturating_sub(record.lost.get()));
+    percent(total, MAX_HELD_PERCENT)
+        .min(tolerated + percent(plenty, PLENTY_HELD_PERCENT))
+        .min(remaining_loss.max(reduced))
+        .max(rest)
 }
 
 /// Writes of records.
@@ -131,7 +161,9 @@
         let is_short = allocation
             .short_at
             .is_some_and(|at| at >= allocation.read_at);
-        allocation.last_record.is_none() || allocation.is_outdated || (is_short && is_old)
+        let may_change = !self.is_exhausted_for_good(allocation);
+        let is_reread_due = is_short && is_old && may_change;
+        allocation.last_record.is_none() || allocation.is_outdated || is_reread_due
     }
 
     /// Stores a record that was read, and resolves a write of unknown outcome from it.
@@ -271,8 +303,13 @@
         let mine = record.holders.get(&self.me);
         let recorded = mine.filter(|mine| mine.start == self.incarnation);
         let recorded = recorded.map_or(Tokens::ZERO, |mine| mine.unspent);
-        let is_wrong =
-            recorded.saturating_sub(allocation.unspent()).get() > paid / MIN_SURPLUS_DIVISOR;
+        // While nothing can be drawn, callers of other entries wait in vain for what the record
+        // overstates.
+        let divisor = match left {
+            0 => MAX_ERROR_DIVISOR,
+            _ => MIN_SURPLUS_DIVISOR,
+        };
+        let is_wrong = recorded.saturating_sub(allocation.unspent()).get() > paid / divisor;
         let is_old = now.saturating_sub(allocation.written_at) >= MIN_CORRECTION_INTERVAL;
         is_wrong && is_old && left < paid * SCARCE_PERCENT / 100
     }
@@ -281,17 +318,17 @@
         let Some(paid) = allocation.paid else {
             return Transfer::default();
         };
-        let intended_holding = self.intended_holding(allocation, record, paid, now);
-        let desired = allocation.total_waiting() + intended_holding;
-        let is_low = allocation.free < allocation.total_waiting()
-            || allocation.free.get() < intended_holding.get() * REFILL_PERCENT / 100;
+        let intended = self.intended_holding(allocation, record, paid, now);
+        let desired = allocation.total_waiting() + intended.held;
+        let is_low =
+            allocation.free < allocation.total_waiting() || allocation.free < intended.refill_below;
         if is_low {
             let lack = desired.saturating_sub(allocation.free);
             return Transfer::drawn(lack.min(paid.saturating_sub(record.drawn)));
         }
         let surplus = allocation
             .free
-            .saturating_sub(desired + Tokens::new(intended_holding.get() / 2));
+            .saturating_sub(desired + Tokens::new(intended.held.get() / 2));
         let is_worth_a_write = surplus.get() > paid.get() / MIN_SURPLUS_DIVISOR;
         Transfer::returned(if is_worth_a_write {
             surplus
@@ -308,12 +345,21 @@
         record: &Record,
         paid: Tokens,
         now: Millis,
-    ) -> Tokens {
+    ) -> Holding {
         let left = paid.saturating_sub(record.drawn);
         let total = self.held_elsewhere(record) + allocation.unspent() + left;
         let max = Tokens::new(max_held(record, paid, total));
         let min = Tokens::new(paid.get() / FIRST_DRAW_DIVISOR);
-        allocation.expected_need(now).max(min).min(max)
+        let needed = allocation.expected_need(now).max(min);
+        let refill_percent = match needed > max {
+            true => LIMITED_REFILL_PERCENT,
+            false => REFILL_PERCENT,
+        };
+        let held = needed.min(max);
+        Holding {
+            held,
+            refill_below: Tokens::new(held.get() * refill_percent / 100),
+        }
     }
 }
 
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -16,7 +16,7 @@
     call::Call,
     config::{Account, Configuration, Route},
     port::Protocol,
-    prepaid::{Reservation, Role, Shortage},
+    prepaid::{DRAW_LOOKAHEAD, Reservation, Role, Shortage},
     state::State,
     stream,
 };
@@ -33,8 +33,10 @@
 /// Base of `Retry-After`; a random part of up to the same length is added so that refused callers
 /// do not return together.
 const RETRY_AFTER: Millis = Millis::new(400);
-/// Base of `Retry-After` while the store is unreachable and no tokens can be drawn: outages last
-/// seconds.
+/// Expected length of an outage of the store, during which no tokens can be drawn. Callers are told
+/// to return at its end.
+const EXPECTED_OUTAGE: Millis = DRAW_LOOKAHEAD;
+/// Minimum base of `Retry-After` while the store is unreachable.
 const RETRY_AFTER_OUTAGE: Millis = Millis::new(1_500);
 /// Base of `Retry-After` during shutdown: the next attempt of the caller reaches another entry.
 const RETRY_AFTER_SHUTDOWN: Millis = Millis::new(50);
@@ -356,7 +358,7 @@
                 Shortage::Exhausted,
                 &account.id,
                 max_cost,
-                0,
+                None,
             ));
         }
         Err(_) => wait_for_tokens(state, request, &account.id, max_cost).await?,
@@ -404,7 +406,12 @@
         let reason = match attempt {
             Ok(reservation) => return Ok(reservation),
             Err(Shortage::Exhausted) => {
-                return Err(shortage_refusal(Shortage::Exhausted, account, max_cost, 0));
+                return Err(shortage_refusal(
+                    Shortage::Exhausted,
+                    account,
+                    max_cost,
+                    None,
+                ));
             }
             Err(reason) => reason,
         };
@@ -424,23 +431,32 @@
             until
         };
         if tokio::time::timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
-            return Err(shortage_refusal(reason, account, max_cost, failures));
+            let outage = store_outage(state, account);
+            return Err(shortage_refusal(reason, account, max_cost, outage));
         }
     }
 }
 
+/// How long the store has not answered this entry, or the one that refused a loan.
+fn store_outage<P>(state: &State<P>, account: &ClientAccountId) -> Option<Millis> {
+    let now = state.now();
+    let own = state.store_health.borrow().outage(now);
+    own.or_else(|| state.allocations.borrow().lender_outage(account, now))
+}
+
 fn shortage_refusal(
     reason: Shortage,
     account: &ClientAccountId,
     max_cost: Tokens,
-    failures: u32,
+    outage: Option<Millis>,
 ) -> Refusal {
+    let outage_ms = outage.map_or(0, Millis::get);
     let detail =
-        format!("{max_cost} tokens of {account}: {reason:?}, store calls failed: {failures}");
-    let base = match failures {
-        0 => RETRY_AFTER,
-        _ => RETRY_AFTER_OUTAGE,
-    };
+        format!("{max_cost} tokens of {account}: {reason:?}, store outage: {outage_ms} ms");
+    let base = outage.map_or(RETRY_AFTER, |outage| {
+        let rest = EXPECTED_OUTAGE.saturating_sub(outage);
+        rest.max(RETRY_AFTER_OUTAGE)
+    });
     match reason {
         Shortage::Exhausted => Refusal::new(ErrorKind::BudgetExhausted, detail),
         Shortage::Drawable | Shortage::Elsewhere | Shortage::Unknown => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,9 +17,11 @@
     fleet::Fleet,
     member::TargetList,
     peers::Peers,
+    port::StoreError,
     prepaid::{Allocations, Role},
     retry_budget::RetryBudget,
     shutdown::Shutdown,
+    store_health::StoreHealth,
 };
 
 /// The state of one entry.
@@ -46,6 +48,8 @@
     pub peer_connections: RefCell<PeerConnections>,
     /// Prepaid tokens allocated to this entry.
     pub allocations: RefCell<Allocations>,
+    /// Whether the store answers this entry.
+    pub store_health: RefCell<StoreHealth>,
     /// Consecutive failed reads and writes of the shared records of prepaid tokens.
     pub prepaid_failures: Cell<u32>,
     /// Requests an immediate round of reads and writes of the shared records.
@@ -82,6 +86,7 @@
             peers: RefCell::new(Peers::new(settings.vm.clone(), incarnation)),
             peer_connections: RefCell::default(),
             allocations: RefCell::new(Allocations::new(settings.vm.clone(), incarnation)),
+            store_health: RefCell::default(),
             prepaid_failures: Cell::new(0),
             draw_requested: Notify::new(),
             heartbeat_requested: Notify::new(),
@@ -121,6 +126,17 @@
         }
     }
 
+    /// Records the outcome of a call to the store, and returns it.
+    pub fn record_store_call<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
+        let mut health = self.store_health.borrow_mut();
+        match &result {
+            Ok(_) | Err(StoreError::HistoryUnavailable) => health.record_success(),
+            Err(_) => health.record_failure(self.now()),
+        }
+        drop(health);
+        result
+    }
+
     /// Passes the changed list of targets to the fleet.
     pub fn refresh_fleet(&self) {
         let targets = self.targets.borrow();
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -22,5 +22,7 @@
 mod retry_budget;
 #[path = "gateway/shutdown.rs"]
 mod shutdown;
+#[path = "gateway/store_health.rs"]
+mod store_health;
 #[path = "gateway/subset.rs"]
 mod subset;
--- a/crates/gateway/tests/gateway/loan.rs
+++ b/crates/gateway/tests/gateway/loan.rs
@@ -1,12 +1,16 @@
 //! Loans between entries.
 
 use cyc_gateway::prepaid::{
-    Allocations, LoanRequest, Record, Role, Shortage, TokenDemand, TokenReturn,
+    Allocations, LoanRefusal, LoanRequest, Record, Role, Shortage, TokenDemand, TokenReturn,
 };
 use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
 use googletest::prelude::*;
 
 const NOW: Millis = Millis::new(1_000);
+const EXHAUSTED: LoanRefusal = LoanRefusal {
+    shortage: Shortage::Exhausted,
+    store_outage: None,
+};
 
 fn account() -> ClientAccountId {
     "club".parse().unwrap()
@@ -171,7 +175,7 @@
         tokens: tokens(9_000),
     };
     let before = lender.holding(&account()).0;
-    lender.accept_return(&given);
+    lender.accept_return(&given, NOW);
     expect_that!(lender.holding(&account()).0, eq(before + tokens(9_000)));
     expect_that!(
         lender.lenders(&account(), NOW),
@@ -198,7 +202,7 @@
 fn an_owner_reports_that_an_account_is_exhausted() {
     let mut borrower = borrower("vm-2", 1_000);
     let demand = demand(&mut borrower, 9_000);
-    borrower.record_exhausted(&demand, NOW);
+    borrower.record_loan_refusal(&demand, EXHAUSTED, NOW);
     let shortage = |allocations: &mut Allocations, max_cost, now| {
         allocations.reserve(&account(), tokens(max_cost), now)
     };
@@ -215,7 +219,7 @@
         shortage(&mut borrower, 9_000, later),
         err(eq(&Shortage::Unknown))
     );
-    borrower.record_exhausted(&demand, later);
+    borrower.record_loan_refusal(&demand, EXHAUSTED, later);
     borrower.set_prepaid([(account(), tokens(200_000))]);
     expect_that!(
         shortage(&mut borrower, 9_000, later),
@@ -228,19 +232,106 @@
 #[gtest]
 fn an_entry_returns_tokens_beyond_its_expected_use() {
     let mut allocations = borrower("vm-2", 20_000);
-    let reservation = allocations.reserve(&account(), tokens(8_000), NOW).unwrap();
-    allocations.settle(&reservation, tokens(8_000), NOW);
+    // An entry that uses the account often keeps tokens for its next requests.
+    for _ in 0..10 {
+        let reservation = allocations.reserve(&account(), tokens(800), NOW).unwrap();
+        allocations.settle(&reservation, tokens(800), NOW);
+    }
     let all = |allocations: &mut Allocations, now| {
-        let given = allocations.return_surplus(|_| Role::Borrower, now);
+        let given = allocations.return_surplus(|_| Role::Borrower, 2, now);
         given.into_iter().map(|(_, tokens)| tokens).sum::<Tokens>()
     };
-    expect_that!(allocations.return_surplus(|_| Role::Owner, NOW), is_empty());
+    expect_that!(
+        allocations.return_surplus(|_| Role::Owner, 2, NOW),
+        is_empty()
+    );
     let first = all(&mut allocations, NOW);
     expect_that!(first, lt(tokens(12_000)));
     let rest = all(&mut allocations, NOW + Millis::new(30_000));
     expect_that!(first + rest, ge(tokens(11_900)));
 }
 
+/// Callers of one account on a hundred entries: if each entry kept tokens for its next request, a
+/// large part of the account would lie idle, and be lost when the entries are killed.
+#[gtest]
+fn borrowers_of_a_large_fleet_hold_few_tokens() {
+    const ENTRIES: usize = 100;
+    const PAID: u64 = 20_000_000;
+    let (max_cost, used) = (tokens(5_000), tokens(4_700));
+    let mut lender = Allocations::new(vm("owner"), 1);
+    lender.set_prepaid([(account(), tokens(PAID))]);
+    lender.observe(&account(), None, Record::default(), NOW);
+    let mut borrowers: Vec<Allocations> = (0..ENTRIES)
+        .map(|index| borrower(&format!("vm-{index}"), 0))
+        .collect();
+    let mut version = 0;
+    let mut most_idle = 0;
+    // 40 requests per second, each at another entry.
+    for step in 0..800_u64 {
+        let now = NOW + Millis::new(step * 25);
+        let index = (step as usize * 37) % ENTRIES;
+        let entry = &mut borrowers[index];
+        entry.add_waiter(&account(), max_cost);
+        for _ in 0..2 {
+            if let Some(demand) = entry.demand(&account(), now) {
+                let lent = lender.lend(&request(&format!("vm-{index}"), demand), now);
+                entry.borrow(&account(), lent);
+            }
+            if lender.plan(&account(), Role::Owner, now).is_some() {
+                version += 1;
+                lender.written(&account(), Version::new(version), now);
+            }
+        }
+        entry.remove_waiter(&account(), max_cost);
+        let reservation = entry.reserve(&account(), max_cost, now).unwrap();
+        entry.settle(&reservation, used, now);
+        if step % 40 == 0 {
+            for (index, entry) in borrowers.iter_mut().enumerate() {
+                for (account, tokens) in entry.return_surplus(|_| Role::Borrower, ENTRIES, now) {
+                    let token_return = TokenReturn {
+                        key: "key".into(),
+                        from: vm(&format!("vm-{index}")),
+                        account,
+                        tokens,
+                    };
+                    lender.accept_return(&token_return, now);
+                }
+            }
+        }
+        let idle: Tokens = borrowers
+            .iter()
+            .map(|entry| entry.holding(&account()).0)
+            .sum();
+        most_idle = most_idle.max(idle.get());
+    }
+    expect_that!(most_idle, le(PAID / 100));
+}
+
+/// Near the end of a budget most lent tokens are used by the requests that they were lent for.
+/// Callers must be told at once that the account is exhausted, instead of coming back in vain.
+#[gtest]
+fn loans_that_will_be_used_do_not_count_as_left() {
+    let mut lender = owner(100_000);
+    for _ in 0..20 {
+        let reservation = lender.reserve(&account(), tokens(1_000), NOW).unwrap();
+        lender.settle(&reservation, tokens(950), NOW);
+    }
+    let rest = lender.holding(&account()).0;
+    let demand = TokenDemand {
+        account: account(),
+        least: rest,
+        want: rest,
+    };
+    let lent = lender.lend(&request("vm-2", demand), NOW);
+    expect_that!(lent, eq(rest));
+    // A twentieth of the loan of 81,000 tokens is likely to be returned.
+    let cases = [(3_000, Shortage::Elsewhere), (6_000, Shortage::Exhausted)];
+    for (max_cost, expected) in cases {
+        let shortage = lender.reserve(&account(), tokens(max_cost), NOW);
+        expect_that!(shortage, err(eq(&expected)), "{max_cost}");
+    }
+}
+
 #[gtest]
 fn no_loan_is_requested_without_waiting_requests() {
     expect_that!(borrower("vm-2", 1_000).demands(NOW), is_empty());
--- a/crates/gateway/tests/gateway/prepaid.rs
+++ b/crates/gateway/tests/gateway/prepaid.rs
@@ -124,6 +124,34 @@
     expect_that!(held, le(left * 16 / 100), "held {held} of {left}");
 }
 
+/// An account that is nearly used up misses each token that is lost when its owner is killed.
+#[gtest]
+fn an_owner_holds_little_of_a_scarce_account() {
+    let paid = 2_000_000;
+    let mut stored = Stored::default();
+    let mut allocations = allocations("vm-1", paid);
+    let request = tokens(10_000);
+    let mut now = Millis::ZERO;
+    let mut held_with = |count: u64| {
+        for _ in 0..count {
+            allocations.add_waiter(&account(), request);
+            write(&mut allocations, &mut stored, now);
+            allocations.remove_waiter(&account(), request);
+            if let Ok(reservation) = allocations.reserve(&account(), request, now) {
+                allocations.settle(&reservation, request, now);
+            }
+            now += Millis::new(100);
+        }
+        allocations.holding(&account()).0.get()
+    };
+    let plenty_left = held_with(40);
+    expect_that!(plenty_left, ge(paid * 6 / 100));
+    // Two thirds are used.
+    let little_left = held_with(90);
+    expect_that!(little_left, gt(0));
+    expect_that!(little_left, le(paid * 3 / 100 + request.get()));
+}
+
 /// With callers of one account on many entries, writes of all of them to its record would conflict;
 /// only the owner may write.
 #[gtest]
--- a/crates/gateway/tests/gateway/prepaid_model.rs
+++ b/crates/gateway/tests/gateway/prepaid_model.rs
@@ -121,14 +121,15 @@
     if rng.random_bool(0.3) {
         let given = entries[from]
             .allocations
-            .return_surplus(|_| Role::Borrower, now);
+            .return_surplus(|_| Role::Borrower, ENTRIES, now);
         for (account, tokens) in given.into_iter().filter(|_| !is_lost) {
-            entries[to].allocations.accept_return(&TokenReturn {
+            let token_return = TokenReturn {
                 key: "key".into(),
                 from: vm(from),
                 account,
                 tokens,
-            });
+            };
+            entries[to].allocations.accept_return(&token_return, now);
         }
         return;
     }
