Store relays on the VMs of targets: entries that are cut off from the store reach it through them

Tokens held ahead last 2 to 6 s; what covers the rest is lost when all entries are killed. Change: a role on side VMs, platform-relay (crate relay). An entry calls the store directly or through a relay from its settings; in fleets above 12 entries relays watch the configuration and the targets once for all and write their heartbeats as one object. StoreError tells calls that reached nobody from refused ones.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,12 +3,26 @@
 use std::{collections::HashMap, sync::Arc};
 
 use cyc_types::{ByteSize, ClientAccountId, ErrorKind, Millis, Revision, ServiceId, Tokens};
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use strum::{Display, EnumString, IntoStaticStr};
 
 /// Retry and response semantics of the requests of a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
+)]
 #[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum RouteKind {
     /// A request may run more than once.
     Idempotent,
@@ -33,7 +47,7 @@
 }
 
 /// A service of a route and its weight.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Split {
     /// The service.
     pub service: ServiceId,
@@ -42,7 +56,7 @@
 }
 
 /// Requests for one host under one path prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route, chosen by operators.
     pub name: SmolStr,
@@ -83,7 +97,7 @@
 }
 
 /// Configuration of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one target accepts from all entries together.
     pub max_connections: u32,
@@ -94,7 +108,7 @@
 }
 
 /// A client account.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
     /// Id of the account.
     pub id: ClientAccountId,
@@ -105,7 +119,7 @@
 }
 
 /// Limits on callers' requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Maximum size of a request head.
     pub header_bytes: ByteSize,
@@ -115,8 +129,59 @@
     pub idle: Millis,
 }
 
+/// The parts of a [`Configuration`] in messages between processes.
+#[derive(Debug, Serialize, Deserialize)]
+struct Parts {
+    revision: Revision,
+    limits: Limits,
+    routes: Vec<Route>,
+    services: Vec<(ServiceId, Service)>,
+    /// Accounts with their API keys.
+    accounts: Vec<(Account, Vec<SmolStr>)>,
+}
+
+impl From<Parts> for Configuration {
+    fn from(parts: Parts) -> Self {
+        let config = Self::new(parts.revision, parts.limits).with_routes(parts.routes);
+        let config = parts
+            .services
+            .into_iter()
+            .fold(config, |config, (id, service)| {
+                config.with_service(id, service)
+            });
+        parts
+            .accounts
+            .into_iter()
+            .fold(config, |config, (account, keys)| {
+                config.with_account(account, keys)
+            })
+    }
+}
+
+impl From<Configuration> for Parts {
+    fn from(config: Configuration) -> Self {
+        let mut keys: HashMap<ClientAccountId, Vec<SmolStr>> = HashMap::new();
+        for (key, account) in config.keys {
+            keys.entry(account.id.clone()).or_default().push(key);
+        }
+        let mut with_keys = |account: &Arc<Account>| {
+            let own = keys.remove(&account.id).unwrap_or_default();
+            (Account::clone(account), own)
+        };
+        let routes = config.routes.values().flatten();
+        Self {
+            revision: config.revision,
+            limits: config.limits,
+            routes: routes.map(|route| Route::clone(route)).collect(),
+            services: config.services.into_iter().collect(),
+            accounts: config.accounts.iter().map(&mut with_keys).collect(),
+        }
+    }
+}
+
 /// One revision of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Parts", into = "Parts")]
 pub struct Configuration {
     /// Revision number; only increases.
     pub revision: Revision,
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -15,7 +15,8 @@
 pub async fn exchange_heartbeats<P: Protocol, S: Store>(state: Rc<State<P>>, store: Rc<S>) {
     let mut retry_delay = RetryDelay::default();
     loop {
-        match run_round(&state, &*store).await {
+        let round = run_round(&state, &*store).await;
+        match state.record_store_call(round) {
             Ok(()) => {
                 let failures = retry_delay.reset();
                 if failures > 0 {
@@ -75,5 +76,7 @@
     }
     let heartbeat = state.peers.borrow_mut().next_heartbeat();
     let is_known = state.peers.borrow().is_announced();
-    store.write_heartbeat(&heartbeat, is_known).await
+    store
+        .write_heartbeats(&state.vm, &[heartbeat], is_known)
+        .await
 }
--- a/crates/gateway/src/control/prepaid.rs
+++ b/crates/gateway/src/control/prepaid.rs
@@ -152,7 +152,7 @@
                 allocations.observe(account, Some(version), record, state.now());
             }
         }
-        Err(StoreError::Refused(_)) => allocations.refused(account),
+        Err(StoreError::Refused(_) | StoreError::Unreachable(_)) => allocations.refused(account),
         Err(_) => allocations.unanswered(account),
     }
     drop(allocations);
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -7,6 +7,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use cyc_types::{AvailabilityZone, Millis, ServiceId, TargetId};
+use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
 /// Delay of removals after an outage of the store. Lapsed registrations return about 2 s after the
@@ -16,8 +17,9 @@
 pub const LAPSE_WINDOW: Millis = Millis::new(2_500);
 
 /// Whether a target accepts new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum TargetState {
     /// Accepts requests.
     Ready,
@@ -26,7 +28,7 @@
 }
 
 /// A registered target.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Id of the target; usually new after each restart.
     pub id: TargetId,
@@ -46,7 +48,8 @@
 }
 
 /// A change of the list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Change {
     /// The target registered or updated its registration.
     Updated(Record),
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -1,7 +1,8 @@
 //! Traits that abstract the protocol of callers and targets, and the store.
 
-use cyc_types::{ClientAccountId, Millis, TargetId, Version};
+use cyc_types::{ClientAccountId, Millis, TargetId, Version, VmId};
 use http::{HeaderMap, request, response};
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::{
@@ -70,9 +71,12 @@
 }
 
 /// Why a call to the store failed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum StoreError {
-    /// The call had no effect: the store refused it, or it was not sent.
+    /// The call had no effect: the store was not reached.
+    Unreachable(String),
+    /// The call had no effect: the store refused it.
     Refused(String),
     /// No response. A write may have been applied, or may be applied later.
     Unanswered(String),
@@ -85,6 +89,7 @@
 impl std::fmt::Display for StoreError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
+            Self::Unreachable(why) => write!(f, "not reached: {why}"),
             Self::Refused(why) => write!(f, "refused: {why}"),
             Self::Unanswered(why) => write!(f, "no answer: {why}"),
             Self::HistoryUnavailable => f.write_str("change history is no longer available"),
@@ -96,7 +101,8 @@
 impl std::error::Error for StoreError {}
 
 /// Outcome of a compare-and-swap write.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Written {
     /// The write was applied; the record now has this version.
     Done(Version),
@@ -106,7 +112,8 @@
 }
 
 /// Required freshness of a read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Freshness {
     /// Includes all preceding writes.
     Newest,
@@ -149,14 +156,16 @@
     /// Writes the record of an account if its version is still the base version of `write`.
     async fn write_prepaid_record(&self, write: &RecordWrite) -> Result<Written, StoreError>;
 
-    /// Reads the heartbeats of all entries.
+    /// Reads the heartbeats of all entries, one of each.
     async fn heartbeats(&self, freshness: Freshness) -> Result<Vec<Heartbeat>, StoreError>;
 
-    /// Writes the heartbeat of this entry, which is its only writer. `is_known` tells whether the
-    /// store had one when it was last read.
-    async fn write_heartbeat(
+    /// Writes the heartbeats of the entries that a process writes for: an entry its own one, or a
+    /// store relay those of its entries. The process on `writer` is the only writer of its object.
+    /// `is_known` tells whether the object exists as far as the process knows.
+    async fn write_heartbeats(
         &self,
-        heartbeat: &Heartbeat,
+        writer: &VmId,
+        heartbeats: &[Heartbeat],
         is_known: bool,
     ) -> Result<(), StoreError>;
 }
--- a/crates/gateway/src/prepaid/plan.rs
+++ b/crates/gateway/src/prepaid/plan.rs
@@ -2,6 +2,7 @@
 //! result of a write.
 
 use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
+use serde::{Deserialize, Serialize};
 
 use super::{Allocation, Allocations, Holder, Record};
 
@@ -52,7 +53,7 @@
 }
 
 /// A planned compare-and-swap write of an account's record.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordWrite {
     /// The account.
     pub account: ClientAccountId,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -113,8 +113,13 @@
 
 /// Serves the metrics in text format.
 pub async fn serve_metrics<P: Protocol>(state: Rc<State<P>>, listener: TcpListener) {
+    serve_text(listener, move || state.metrics.render()).await;
+}
+
+/// Serves a text on every path; never returns.
+pub async fn serve_text(listener: TcpListener, render: impl Fn() -> String + 'static) {
     serve_plain(listener, async move |_| {
-        Response::new(Full::new(state.metrics.render().into()))
+        Response::new(Full::new(render().into()))
     })
     .await;
 }
@@ -127,7 +132,8 @@
     .await;
 }
 
-async fn serve_plain(
+/// Serves requests of processes of the system with `handler`; never returns.
+pub async fn serve_plain(
     listener: TcpListener,
     handler: impl AsyncFn(Request<Incoming>) -> Response<Full<Bytes>> + 'static,
 ) {
--- a/crates/obs/src/daemon.rs
+++ b/crates/obs/src/daemon.rs
@@ -8,8 +8,9 @@
 };
 
 use cyc_settings::LogLevel;
+use tokio::task::LocalSet;
 
-use crate::log::start_stderr_logs;
+use crate::log::{finish_logs, start_stderr_logs, start_stdout_logs};
 
 /// The exit code of a daemon that failed.
 pub const EXIT_FAILED: u8 = 1;
@@ -59,24 +60,27 @@
     Ok(settings)
 }
 
-/// Starts logging and the runtime, runs the daemon to its end and returns the exit code.
+/// Prints the error of a daemon that could not start or has failed.
+fn failed(what: &str, error: &dyn Display) -> ExitCode {
+    eprintln!("error: {what}: {error}");
+    ExitCode::from(EXIT_FAILED)
+}
+
+/// Starts logging to standard error and the runtime, runs the daemon to its end and returns the
+/// exit code.
 pub fn run_daemon<E: Display>(
     level: LogLevel,
     daemon: impl Future<Output = Result<(), E>>,
 ) -> ExitCode {
-    let start_failed = |component: &str, error: &dyn Display| {
-        eprintln!("error: cannot start the {component}: {error}");
-        ExitCode::from(EXIT_FAILED)
-    };
     if let Err(error) = start_stderr_logs(level) {
-        return start_failed("logger", &error);
+        return failed("cannot start the logger", &error);
     }
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
     {
         Ok(runtime) => runtime,
-        Err(error) => return start_failed("runtime", &error),
+        Err(error) => return failed("cannot start the runtime", &error),
     };
     match runtime.block_on(daemon) {
         Ok(()) => ExitCode::SUCCESS,
@@ -86,3 +90,30 @@
         }
     }
 }
+
+/// Starts logging to standard output and a runtime with a single thread, runs the daemon in a local
+/// task set to its end and returns the exit code.
+pub fn run_local_daemon<E: Display>(
+    level: LogLevel,
+    daemon: impl Future<Output = Result<(), E>>,
+) -> ExitCode {
+    if let Err(error) = start_stdout_logs(level) {
+        return failed("cannot start the logger", &error);
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => return failed("cannot start the runtime", &error),
+    };
+    let result = LocalSet::new().block_on(&runtime, daemon);
+    if let Err(error) = &result {
+        spdlog::error!("process_failed", kv: { error = error.to_string() });
+    }
+    finish_logs();
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failed("the process failed", &error),
+    }
+}
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -35,3 +35,7 @@
 pub const FENCED: &str = "fenced";
 /// Gauge: the revision of the configuration in force.
 pub const CONFIG_REVISION: &str = "config_revision";
+/// Counter by kind: calls that a store relay makes to the store for all its entries.
+pub const STORE_CALLS: &str = "store_calls.";
+/// Counter by kind: calls of entries to a store relay.
+pub const RELAY_CALLS: &str = "relay_calls.";
--- /dev/null
+++ b/crates/relay/src/client.rs
@@ -0,0 +1,180 @@
+//! The entry's side of a store relay.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use cyc_gateway::{
+    config::Configuration,
+    conn::Pool,
+    member::Change,
+    peers::Heartbeat,
+    port::{Freshness, Store, StoreError, Written},
+    prepaid::{Record, RecordWrite},
+};
+use cyc_types::{ClientAccountId, Millis, Version, VmId};
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt as _, Full, Limited};
+use tokio::time::timeout;
+
+use crate::message::{CALL_PATH, Call, MAX_MESSAGE_BYTES, Reply, Response};
+
+/// Timeout of a call, in addition to the wait of a watch: the relay's own call to the store, and a
+/// round trip to the relay.
+const CALL_TIMEOUT: Millis = Millis::new(1_100);
+/// The same for a watch, which the relay answers from memory.
+const WATCH_TIMEOUT: Millis = Millis::new(400);
+/// Timeout of opening a connection to a relay: there are other paths.
+const CONNECT_TIMEOUT: Millis = Millis::new(100);
+/// Maximum wait of a watch: bounds the time until a relay that does not respond is noticed.
+const MAX_WATCH_WAIT: Millis = Millis::new(1_000);
+
+/// A client of the relay at one address.
+#[derive(Debug)]
+pub struct RelayClient {
+    pool: Rc<Pool>,
+}
+
+impl RelayClient {
+    /// Creates a client. Connections are opened on the first calls.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            pool: Rc::new(Pool::new(addr)),
+        }
+    }
+
+    async fn call(&self, call: &Call, limit: Millis) -> Response {
+        let exchange = timeout(limit.duration(), self.exchange(call));
+        let response = exchange.await;
+        response.unwrap_or_else(|_| Err(StoreError::Unanswered("the relay: timeout".into())))
+    }
+
+    async fn exchange(&self, call: &Call) -> Response {
+        let unsent = |why: &dyn std::fmt::Display| StoreError::Unreachable(relay_error(why));
+        let unanswered = |why: &dyn std::fmt::Display| StoreError::Unanswered(relay_error(why));
+        let body = serde_json::to_vec(call).map_err(|error| unsent(&error))?;
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(CALL_PATH)
+            .header(header::HOST, "relay")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| unsent(&error))?;
+        let mut conn = match self.pool.take_idle() {
+            Some(conn) => conn,
+            None => {
+                let conn = timeout(CONNECT_TIMEOUT.duration(), self.pool.connect()).await;
+                let conn = conn.map_err(|error| unsent(&error))?;
+                conn.map_err(|error| unsent(&error))?
+            }
+        };
+        let response = conn.sender.try_send_request(req).await;
+        let response = response.map_err(|mut error| match error.take_message() {
+            Some(_) => unsent(error.error()),
+            None => unanswered(error.error()),
+        })?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_MESSAGE_BYTES).collect().await;
+        let body = body.map_err(|error| unanswered(&error))?.to_bytes();
+        if head.status != StatusCode::OK {
+            // The relay refuses a message that it cannot decode before it makes any call.
+            return Err(unsent(&head.status));
+        }
+        self.pool.put_idle(conn, None);
+        let decoded = serde_json::from_slice::<Response>(&body);
+        decoded.map_err(|error| StoreError::Malformed(relay_error(&error)))?
+    }
+}
+
+fn relay_error(why: &dyn std::fmt::Display) -> String {
+    format!("the relay: {why}")
+}
+
+fn unexpected<T>() -> Result<T, StoreError> {
+    Err(StoreError::Malformed(relay_error(
+        &"a reply to another call",
+    )))
+}
+
+impl Store for RelayClient {
+    async fn configuration(&self) -> Result<(Option<Configuration>, Version), StoreError> {
+        match self.call(&Call::Configuration, CALL_TIMEOUT).await? {
+            Reply::Configuration(config, version) => Ok((config, version)),
+            _ => unexpected(),
+        }
+    }
+
+    async fn next_configuration(
+        &self,
+        since: Version,
+        wait: Millis,
+    ) -> Result<(Option<Configuration>, Version), StoreError> {
+        let wait = wait.min(MAX_WATCH_WAIT);
+        let call = Call::NextConfiguration { since, wait };
+        match self.call(&call, wait + WATCH_TIMEOUT).await? {
+            Reply::Configuration(config, version) => Ok((config, version)),
+            _ => unexpected(),
+        }
+    }
+
+    async fn targets(&self) -> Result<(Vec<Change>, Version), StoreError> {
+        match self.call(&Call::Targets, CALL_TIMEOUT).await? {
+            Reply::Targets(list, version) => Ok((list, version)),
+            _ => unexpected(),
+        }
+    }
+
+    async fn next_targets(
+        &self,
+        since: Version,
+        wait: Millis,
+    ) -> Result<(Vec<Change>, Version), StoreError> {
+        let wait = wait.min(MAX_WATCH_WAIT);
+        let call = Call::NextTargets { since, wait };
+        match self.call(&call, wait + WATCH_TIMEOUT).await? {
+            Reply::Targets(changes, version) => Ok((changes, version)),
+            _ => unexpected(),
+        }
+    }
+
+    async fn prepaid_record(
+        &self,
+        account: &ClientAccountId,
+    ) -> Result<(Option<Version>, Record), StoreError> {
+        let call = Call::PrepaidRecord(account.clone());
+        match self.call(&call, CALL_TIMEOUT).await? {
+            Reply::PrepaidRecord(version, record) => Ok((version, record)),
+            _ => unexpected(),
+        }
+    }
+
+    async fn write_prepaid_record(&self, write: &RecordWrite) -> Result<Written, StoreError> {
+        let call = Call::WritePrepaidRecord(write.clone());
+        match self.call(&call, CALL_TIMEOUT).await? {
+            Reply::Written(written) => Ok(written),
+            _ => unexpected(),
+        }
+    }
+
+    async fn heartbeats(&self, freshness: Freshness) -> Result<Vec<Heartbeat>, StoreError> {
+        let call = Call::Heartbeats(freshness);
+        match self.call(&call, CALL_TIMEOUT).await? {
+            Reply::Heartbeats(heartbeats) => Ok(heartbeats),
+            _ => unexpected(),
+        }
+    }
+
+    async fn write_heartbeats(
+        &self,
+        _writer: &VmId,
+        heartbeats: &[Heartbeat],
+        _is_known: bool,
+    ) -> Result<(), StoreError> {
+        for heartbeat in heartbeats {
+            let call = Call::RecordHeartbeat(heartbeat.clone());
+            match self.call(&call, CALL_TIMEOUT).await? {
+                Reply::HeartbeatRecorded => {}
+                _ => return unexpected(),
+            }
+        }
+        Ok(())
+    }
+}
