An answer that its caller never got is not charged; requests whose callers leave are logged

Cause: accounts were used up while money was left: inputs of requests whose answers were lost counted as used. Change: the input is charged with the first event that is relayed. A request that ends without any is free, its log line has status 499 if the caller left. prepaid_record_write shows the lost tokens.

--- a/crates/gateway/src/control/prepaid.rs
+++ b/crates/gateway/src/control/prepaid.rs
@@ -203,6 +203,7 @@
         drawn = write.drawn.get(),
         returned = write.returned.get(),
         total_drawn = write.record.drawn.get(),
+        lost = write.record.lost.get(),
         paid = state.allocations.borrow().prepaid(&write.account).get(),
         entries = state.entries(),
         base_version = write.base.map_or(0, |version| version.get()),
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -40,6 +40,8 @@
 const RETRY_AFTER_OUTAGE: Millis = Millis::new(1_500);
 /// Base of `Retry-After` during shutdown: the next attempt of the caller reaches another entry.
 const RETRY_AFTER_SHUTDOWN: Millis = Millis::new(50);
+/// Status in the log of a request whose caller disconnected before the response.
+const CLIENT_CLOSED_REQUEST: u16 = 499;
 /// Base of `Retry-After` while no configuration is loaded: startup takes about a second.
 const RETRY_AFTER_STARTUP: Millis = Millis::new(800);
 
@@ -145,8 +147,10 @@
     tokens_per_event: u64,
     /// The request runs, has run or may have run.
     has_run: bool,
+    /// The caller got an answer, or a part of one.
+    is_delivered: bool,
     /// Events relayed to the caller.
-    pub events: u64,
+    events: u64,
 }
 
 impl<P> Bill<P> {
@@ -160,13 +164,25 @@
         before
     }
 
-    /// Tokens used so far, at most the reserved ones; zero without a reservation.
+    /// Records that the caller gets an event of a stream.
+    pub fn record_event(&mut self) {
+        self.is_delivered = true;
+        self.events += 1;
+    }
+
+    /// Records that the caller gets a whole answer.
+    pub fn record_answer(&mut self) {
+        self.is_delivered = true;
+    }
+
+    /// Tokens used so far, at most the reserved ones; zero without a reservation, and as long as the
+    /// caller has got nothing: an answer that was lost is not charged.
     pub fn used(&self) -> Tokens {
         let reserved = self
             .reservation
             .as_ref()
             .map(|reservation| reservation.tokens);
-        let used = match self.has_run {
+        let used = match self.is_delivered {
             true => self.input + Tokens::new(self.events * self.tokens_per_event),
             false => Tokens::ZERO,
         };
@@ -195,9 +211,17 @@
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived = state.now();
-    let log = RefCell::new(RequestLog::default());
+    let log = Rc::new(RefCell::new(RequestLog::default()));
     let _in_flight = InFlightGuard::new(&state);
-    match handle(&state, req, arrived, &log).await {
+    let mut unfinished = UnfinishedRequest {
+        state: state.clone(),
+        log: log.clone(),
+        arrived,
+        is_finished: false,
+    };
+    let result = handle(&state, req, arrived, &log).await;
+    unfinished.is_finished = true;
+    match result {
         Ok(response) => response,
         Err(refusal) => {
             let response = answer::response(&refusal);
@@ -215,6 +239,31 @@
     }
 }
 
+/// Logs a request whose caller disconnects before the head of its response.
+struct UnfinishedRequest<P> {
+    state: Rc<State<P>>,
+    log: Rc<RefCell<RequestLog>>,
+    arrived: Millis,
+    is_finished: bool,
+}
+
+impl<P> Drop for UnfinishedRequest<P> {
+    fn drop(&mut self) {
+        if self.is_finished {
+            return;
+        }
+        let status = StatusCode::from_u16(CLIENT_CLOSED_REQUEST).unwrap_or_default();
+        log_request_end(
+            &self.state,
+            &self.log.borrow(),
+            self.arrived,
+            status,
+            "caller_left",
+            "before the response",
+        );
+    }
+}
+
 /// Counts a request as in flight until dropped.
 struct InFlightGuard<P>(Rc<State<P>>);
 
@@ -236,13 +285,13 @@
     state: &Rc<State<P>>,
     req: Request<Incoming>,
     arrived: Millis,
-    log: &RefCell<RequestLog>,
+    log: &Rc<RefCell<RequestLog>>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let (head, body) = req.into_parts();
     let request = admit(state, head, arrived, log)?;
     let request = read_body(request, body).await?;
     let bill = reserve(state, &request).await?;
-    let mut attempts = Attempts::new(state.clone(), request, bill);
+    let mut attempts = Attempts::new(state.clone(), request, bill, log.clone());
     let response = attempts.next_response(None).await;
     attempts.update_log(&mut log.borrow_mut());
     let response = response?;
@@ -340,6 +389,7 @@
         input: prompt.map_or(Tokens::ZERO, |prompt| prompt.input),
         tokens_per_event: tokens_per_event.unwrap_or(1),
         has_run: false,
+        is_delivered: false,
         events: 0,
     };
     let payer = request.account.as_ref().zip(prompt);
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts of one request at targets, until one responds or no further attempt is allowed.
 
-use std::rc::Rc;
+use std::{cell::RefCell, rc::Rc};
 
 use bytes::Bytes;
 use cyc_types::{ErrorKind, Millis, Refusal, ServiceId, TargetId};
@@ -145,11 +145,18 @@
     service: ServiceId,
     /// A target may have run the request.
     may_have_run: bool,
+    /// Updated with each send, in case that the caller disconnects before the response.
+    progress: Rc<RefCell<RequestLog>>,
 }
 
 impl<P: Protocol> Attempts<P> {
     /// Creates the state of a request without attempts.
-    pub fn new(state: Rc<State<P>>, request: AdmittedRequest, bill: Bill<P>) -> Self {
+    pub fn new(
+        state: Rc<State<P>>,
+        request: AdmittedRequest,
+        bill: Bill<P>,
+        progress: Rc<RefCell<RequestLog>>,
+    ) -> Self {
         let service = request.route.service(rand::random()).clone();
         Self {
             state,
@@ -160,6 +167,7 @@
             estimate: Millis::ZERO,
             service,
             may_have_run: false,
+            progress,
         }
     }
 
@@ -314,6 +322,7 @@
             retry_budget.record_first_attempt(&self.service, self.state.now());
         }
         self.sends += 1;
+        self.update_log(&mut self.progress.borrow_mut());
         // From here on the target may run the request, even if the caller disconnects.
         let had_run = self.bill.set_has_run(true);
         let until = self.response_deadline();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -133,6 +133,9 @@
         }
     }
     attempts.bill.set_has_run(true);
+    if head.status.is_success() {
+        attempts.bill.record_answer();
+    }
     strip_connection(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     let arrived = attempts.request.arrived;
@@ -249,7 +252,7 @@
                     continue;
                 }
                 self.last_id = Some(id);
-                self.attempts.bill.events += 1;
+                self.attempts.bill.record_event();
             }
             match first.take() {
                 None if all.is_empty() => first = Some(event.bytes),
