--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -7,10 +7,12 @@
 use http::{Request, Response, StatusCode, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::{AdmittedRequest, Bill, RequestLog, retry_after};
 use crate::{
+    call::{Call, PromptPart},
     choose::Choice,
     config::{RouteKind, Service},
     conn::{Conn, Pool},
@@ -27,6 +29,8 @@
 /// Part of a target's connections that entries use: the number of entries is known with a delay,
 /// and a target accepts fewer connections while many requests are queued there.
 const CONNECTIONS_PERCENT: u64 = 90;
+/// Prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
 /// With less time left than this, a target could not respond before the deadline.
 const MIN_TIME_LEFT: Millis = Millis::new(20);
 
@@ -39,10 +43,16 @@
     sent_at: Millis,
     expected: Millis,
     verdict: Verdict,
+    /// Id of the request, for the log.
+    request: SmolStr,
+    /// The shared parts of the prompt.
+    shared: Vec<PromptPart>,
+    /// When the first event of the answer arrived.
+    first_event_at: Option<Millis>,
 }
 
 impl<P> ActiveAttempt<P> {
-    fn new(state: Rc<State<P>>, target: TargetId, choice: &Choice) -> Self {
+    fn new(state: Rc<State<P>>, target: TargetId, choice: &Choice, call: &Call) -> Self {
         let now = state.now();
         let mut fleet = state.fleet.borrow_mut();
         fleet.start_attempt(&target, choice.uncached, now);
@@ -54,9 +64,21 @@
             sent_at: now,
             expected: choice.estimate,
             verdict: Verdict::Abandoned,
+            request: call.id.clone(),
+            shared: call
+                .prompt
+                .as_ref()
+                .map_or_else(Vec::new, |prompt| prompt.shared().to_vec()),
+            first_event_at: None,
         }
     }
 
+    /// Records that events of the answer have arrived.
+    pub fn record_events(&mut self) {
+        let now = self.state.now();
+        self.first_event_at.get_or_insert(now);
+    }
+
     /// Records that the target has started to respond.
     pub fn record_prefilled(&mut self, request: &AdmittedRequest) {
         let now = self.state.now();
@@ -97,6 +119,25 @@
                 reason = verdict,
             });
         }
+        if self.verdict == Verdict::Failed && !self.shared.is_empty() {
+            self.log_broken_prompt(now);
+        }
+    }
+}
+
+impl<P> ActiveAttempt<P> {
+    /// Logs what a target was working on when it broke off, so that the prompts that break on
+    /// several targets can be compared.
+    fn log_broken_prompt(&self, now: Millis) {
+        let parts = self.shared.iter().take(MAX_LOGGED_PARTS);
+        let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        let events_for = self.first_event_at.map(|at| now.saturating_sub(at));
+        spdlog::info!("prompt_broken", kv: {
+            id = self.request.as_str(),
+            target = self.target.as_str(),
+            parts = parts.join(","),
+            events_for_ms = events_for.map_or_else(|| "none".into(), |time| time.get().to_string()),
+        });
     }
 }
 
@@ -303,7 +344,12 @@
             let known = fleet.get(target).map(|known| known.pool.clone());
             known.ok_or_else(|| AttemptError::NotSent("the target has just left".into()))?
         };
-        let attempt = ActiveAttempt::new(self.state.clone(), target.clone(), choice);
+        let attempt = ActiveAttempt::new(
+            self.state.clone(),
+            target.clone(),
+            choice,
+            &self.request.call,
+        );
         let mut conn = match pool.take_idle() {
             Some(conn) => conn,
             None => match pool.connect().await {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -305,7 +305,12 @@
     async fn next_chunk(&mut self) -> Option<Result<Bytes, Truncated>> {
         loop {
             match self.read_events().await {
-                StreamRead::Events(events) => return Some(Ok(events)),
+                StreamRead::Events(events) => {
+                    if let Some(response) = &mut self.response {
+                        response.attempt.record_events();
+                    }
+                    return Some(Ok(events));
+                }
                 StreamRead::End => {
                     self.finish();
                     self.outcome = "answered";
