--- a/crates/entry/src/observe.rs
+++ b/crates/entry/src/observe.rs
@@ -68,6 +68,7 @@
         | K::AccountLimited
         | K::Cancelled => true,
         K::BudgetUnreachable
+        | K::PromptRefused
         | K::Overloaded
         | K::DeadlineBeforeStart
         | K::DeadlineWhileRunning
--- a/crates/gateway/benches/choose.rs
+++ b/crates/gateway/benches/choose.rs
@@ -4,7 +4,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use cyc_gateway::{
-    call::{Prompt, PromptPart},
+    call::{PartId, Prompt, PromptPart},
     choose::Options,
     fleet::{Fleet, Requirements},
     member::{Record, TargetState},
@@ -34,7 +34,7 @@
 
 fn prompt(prefix: u64) -> Prompt {
     let part = |id, tokens| PromptPart {
-        id,
+        id: PartId::new(id),
         tokens: Tokens::new(tokens),
     };
     Prompt {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -4,12 +4,16 @@
 mod config;
 mod heartbeats;
 mod loans;
+mod news;
+mod peer_call;
 mod prepaid;
 mod targets;
 
 pub use config::watch_configuration;
 pub use heartbeats::exchange_heartbeats;
-pub use loans::{PeerConnections, handle_peer_call, return_surplus, run_loans, run_token_returns};
+pub use loans::{LoanFailures, return_surplus, run_loans, run_token_returns};
+pub use news::{BrokenAnswer, check_targets, compare_news, spread_news};
+pub use peer_call::{PeerConnections, handle_peer_call};
 pub use prepaid::{return_prepaid, run_prepaid};
 pub use targets::watch_targets;
 
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -6,6 +6,7 @@
 
 use super::RetryDelay;
 use crate::{
+    news::News,
     peers::{HEARTBEAT_INTERVAL, STARTUP_DELAY},
     port::{Freshness, Protocol, Store, StoreError},
     state::State,
@@ -55,7 +56,9 @@
 /// this entry's part of shared limits depends on them; later ones may be seconds old, which costs
 /// less.
 async fn run_round<P: Protocol, S: Store>(state: &State<P>, store: &S) -> Result<(), StoreError> {
-    let freshness = match state.peers.borrow().is_announced() {
+    // Without other entries, only the store tells what they have learnt about targets.
+    let is_informed = state.peers.borrow().is_announced() && !state.is_isolated.get();
+    let freshness = match is_informed {
         false => Freshness::Newest,
         true => Freshness::SecondsOld,
     };
@@ -63,7 +66,8 @@
     let (before, after) = {
         let mut peers = state.peers.borrow_mut();
         let before = peers.running();
-        peers.observe(heartbeats, state.now());
+        let crashes = peers.observe(heartbeats, state.now());
+        state.learn(News { crashes });
         let incarnations = peers.incarnations(state.now());
         state
             .allocations
@@ -74,7 +78,12 @@
     if before != after {
         spdlog::info!("entry_count_changed", kv: { running = after, previous = before });
     }
-    let heartbeat = state.peers.borrow_mut().next_heartbeat();
+    let summary = state.knowledge.borrow().crashes.summary(state.now());
+    let heartbeat = {
+        let mut peers = state.peers.borrow_mut();
+        peers.set_crashes(summary);
+        peers.next_heartbeat()
+    };
     let is_known = state.peers.borrow().is_announced();
     store
         .write_heartbeats(&state.vm, &[heartbeat], is_known)
--- a/crates/gateway/src/control/loans.rs
+++ b/crates/gateway/src/control/loans.rs
@@ -3,21 +3,16 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc};
 
-use bytes::Bytes;
 use cyc_types::{Backoff, ClientAccountId, Millis};
 use futures::future::join_all;
-use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
 use serde::{Serialize, de::DeserializeOwned};
-use smol_str::SmolStr;
 use tokio::{
     task::yield_now,
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
+use super::peer_call::{self, CallError, LOAN_PATH, RETURN_PATH};
 use crate::{
-    conn::Pool,
     peers::Contact,
     port::Protocol,
     prepaid::{LoanRefusal, LoanReply, LoanRequest, Role, Shortage, TokenDemand, TokenReturn},
@@ -42,17 +37,10 @@
 const MIN_ROUND_INTERVAL: Millis = Millis::new(5);
 /// Interval between checks for surplus tokens.
 const RETURN_INTERVAL: Millis = Millis::new(1_000);
-/// Maximum size of a message between entries.
-const MAX_MESSAGE_BYTES: usize = 4_096;
-/// Path of loan requests.
-const LOAN_PATH: &str = "/loan";
-/// Path of token returns.
-const RETURN_PATH: &str = "/give-back";
 
-/// Connections to other entries, and recent failures to get loans from them.
+/// Recent failures to get loans from other entries.
 #[derive(Debug, Default)]
-pub struct PeerConnections {
-    pools: HashMap<SocketAddr, Rc<Pool>>,
+pub struct LoanFailures {
     unresponsive_until: HashMap<SocketAddr, Instant>,
     /// Accounts for which no entry had a loan.
     no_loan: HashMap<ClientAccountId, NoLoan>,
@@ -66,7 +54,7 @@
     backoff: Backoff,
 }
 
-impl PeerConnections {
+impl LoanFailures {
     /// Returns true if no loan for the account is requested at present, because none was granted.
     fn is_waiting_for(&self, account: &ClientAccountId) -> bool {
         is_in_future(self.no_loan.get(account).map(|no_loan| &no_loan.until))
@@ -86,23 +74,6 @@
     }
 }
 
-/// Why a call to another entry failed.
-#[derive(Debug)]
-enum CallError {
-    /// The request was not sent.
-    Unsent(String),
-    /// The other entry may have received the request.
-    Unanswered(String),
-}
-
-impl std::fmt::Display for CallError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Unsent(why) | Self::Unanswered(why) => f.write_str(why),
-        }
-    }
-}
-
 /// Requests loans for waiting requests; never returns.
 pub async fn run_loans<P: Protocol>(state: Rc<State<P>>) {
     loop {
@@ -131,9 +102,9 @@
     let all = owner_candidates.iter().chain(others);
     let contacts = all.filter(|vm| **vm != state.vm);
     let contacts = contacts.filter_map(|vm| peers.contact(vm));
-    let peer_connections = state.peer_connections.borrow();
+    let loan_failures = state.loan_failures.borrow();
     let is_available =
-        |contact: &Contact| !is_in_future(peer_connections.unresponsive_until.get(&contact.addr));
+        |contact: &Contact| !is_in_future(loan_failures.unresponsive_until.get(&contact.addr));
     contacts
         .filter(is_available)
         .take(MAX_LENDERS_ASKED)
@@ -149,18 +120,18 @@
 /// draws for the account has refused.
 async fn borrow<P>(state: &State<P>, demand: &TokenDemand) {
     let account = demand.account.clone();
-    if state.peer_connections.borrow().is_waiting_for(&account) {
+    if state.loan_failures.borrow().is_waiting_for(&account) {
         return;
     }
     let outcome = ask_lenders(state, demand.clone()).await;
-    let mut peer_connections = state.peer_connections.borrow_mut();
+    let mut loan_failures = state.loan_failures.borrow_mut();
     match outcome {
         Asked::Lent => {
-            peer_connections.no_loan.remove(&account);
+            loan_failures.no_loan.remove(&account);
         }
-        Asked::Refused | Asked::NoResponse => peer_connections.record_no_loan(&account),
+        Asked::Refused | Asked::NoResponse => loan_failures.record_no_loan(&account),
     }
-    drop(peer_connections);
+    drop(loan_failures);
     if outcome == Asked::NoResponse {
         // No other entry responds, but the store may be reachable.
         let now = state.now();
@@ -327,20 +298,11 @@
     path: &str,
     message: &impl Serialize,
 ) -> Result<T, CallError> {
-    let pool = state
-        .peer_connections
-        .borrow_mut()
-        .pools
-        .entry(addr)
-        .or_insert_with(|| Rc::new(Pool::new(addr)))
-        .clone();
-    let sent = exchange(&pool, path, message);
-    let reply = timeout(LOAN_TIMEOUT.duration(), sent).await;
-    let reply = reply.unwrap_or_else(|_| Err(CallError::Unanswered("timeout".into())));
+    let reply = peer_call::call(state, addr, path, message, LOAN_TIMEOUT).await;
     if reply.is_err() {
         let until = Instant::now() + UNRESPONSIVE_BACKOFF.duration();
         state
-            .peer_connections
+            .loan_failures
             .borrow_mut()
             .unresponsive_until
             .insert(addr, until);
@@ -348,103 +310,18 @@
     reply
 }
 
-async fn exchange<T: DeserializeOwned>(
-    pool: &Pool,
-    path: &str,
-    message: &impl Serialize,
-) -> Result<T, CallError> {
-    let unsent = |error: &dyn std::fmt::Display| CallError::Unsent(error.to_string());
-    let unanswered = |error: &dyn std::fmt::Display| CallError::Unanswered(error.to_string());
-    let body = serde_json::to_vec(message).map_err(|error| unsent(&error))?;
-    let req = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .header(header::HOST, "entry")
-        .body(Full::new(Bytes::from(body)))
-        .map_err(|error| unsent(&error))?;
-    let mut conn = match pool.take_idle() {
-        Some(conn) => conn,
-        None => pool.connect().await.map_err(|error| unsent(&error))?,
-    };
-    let response = conn.sender.try_send_request(req).await;
-    let response = response.map_err(|mut error| match error.take_message() {
-        Some(_) => unsent(error.error()),
-        None => unanswered(error.error()),
-    })?;
-    let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_MESSAGE_BYTES).collect().await;
-    let body = body.map_err(|error| unanswered(&error))?.to_bytes();
-    if head.status != StatusCode::OK {
-        // The other entry refuses a call before it has any effect.
-        return Err(unsent(&head.status));
-    }
-    pool.put_idle(conn, None);
-    serde_json::from_slice(&body).map_err(|error| unanswered(&error))
-}
-
-/// Handles a call of another entry.
-pub async fn handle_peer_call<P>(
-    state: &State<P>,
-    req: Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    let path = req.uri().path().to_string();
-    let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES)
-        .collect()
-        .await;
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return refusal(&path, &error.to_string()),
-    };
-    match path.as_str() {
-        LOAN_PATH => match read(state, &body, |request: &LoanRequest| &request.key) {
-            Ok(request) => reply(&lend(state, &request).await),
-            Err(error) => refusal(&path, &error),
-        },
-        RETURN_PATH => match read(state, &body, |token_return: &TokenReturn| &token_return.key) {
-            Ok(token_return) => {
-                let now = state.now();
-                let mut allocations = state.allocations.borrow_mut();
-                allocations.accept_return(&token_return, now);
-                drop(allocations);
-                state.allocations_changed.notify_waiters();
-                reply(&())
-            }
-            Err(error) => refusal(&path, &error),
-        },
-        _ => refusal(&path, "no such path"),
-    }
-}
-
-/// Decodes a message and checks that its sender knows this entry's key.
-fn read<P, T: DeserializeOwned>(
-    state: &State<P>,
-    body: &[u8],
-    key: impl Fn(&T) -> &SmolStr,
-) -> Result<T, String> {
-    let message: T = serde_json::from_slice(body).map_err(|error| error.to_string())?;
-    match state.peers.borrow().accepts(key(&message)) {
-        true => Ok(message),
-        false => Err("the key is not that of this entry".into()),
-    }
-}
-
-fn refusal(path: &str, error: &str) -> Response<Full<Bytes>> {
-    spdlog::warn!("entry_call_refused", kv: { path = path, error = error });
-    let mut response = Response::new(Full::new(Bytes::from(error.to_string())));
-    *response.status_mut() = StatusCode::BAD_REQUEST;
-    response
-}
-
-fn reply(message: &impl Serialize) -> Response<Full<Bytes>> {
-    match serde_json::to_vec(message) {
-        Ok(body) => Response::new(Full::new(Bytes::from(body))),
-        Err(error) => refusal("", &error.to_string()),
-    }
+/// Takes tokens that another entry returns.
+pub fn handle_return<P>(state: &State<P>, token_return: &TokenReturn) {
+    let now = state.now();
+    let mut allocations = state.allocations.borrow_mut();
+    allocations.accept_return(token_return, now);
+    drop(allocations);
+    state.allocations_changed.notify_waiters();
 }
 
 /// Lends tokens; the owner or acting owner first draws if it holds too few. The borrower decides
 /// whether this entry is one of them, from the heartbeats that it has read.
-async fn lend<P>(state: &State<P>, request: &LoanRequest) -> LoanReply {
+pub async fn lend<P>(state: &State<P>, request: &LoanRequest) -> LoanReply {
     let account = &request.account;
     let until = Instant::now() + LEND_WAIT.duration();
     if request.should_draw {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -101,6 +101,8 @@
         tokio::task::spawn_local(serve::serve_peers(state.clone(), peers));
         tokio::task::spawn_local(control::run_loans(state.clone()));
         tokio::task::spawn_local(control::run_token_returns(state.clone()));
+        tokio::task::spawn_local(control::spread_news(state.clone()));
+        tokio::task::spawn_local(control::compare_news(state.clone()));
     }
     spdlog::info!("started", kv: {
         vm = settings.vm.as_str(),
@@ -115,6 +117,7 @@
     tokio::task::spawn_local(control::watch_targets(state.clone(), store.clone()));
     tokio::task::spawn_local(control::exchange_heartbeats(state.clone(), store.clone()));
     tokio::task::spawn_local(control::run_prepaid(state.clone(), store.clone()));
+    tokio::task::spawn_local(control::check_targets(state.clone()));
     tokio::task::spawn_local(watch_settings(state.clone(), reloads, reload));
     tokio::task::spawn_local(serve::serve_ready(state.clone(), ready));
     tokio::task::spawn_local(serve::serve_callers(state.clone(), callers));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     affinity::PrefixDemand,
-    call::{Prompt, PromptPart},
+    call::{PartId, Prompt, PromptPart},
     choose::{self, Candidate, Choice, Lane, PromptInput},
     conn::Pool,
     decay::DecayingSum,
@@ -118,7 +118,7 @@
     load: Option<(Load, Millis)>,
     slowness: f64,
     slowness_at: Millis,
-    cached: HashMap<u64, Millis>,
+    cached: HashMap<PartId, Millis>,
 }
 
 impl Target {
@@ -416,10 +416,10 @@
         let tokens_per_ms = self.options.prompt_tokens_per_ms;
         let count = self
             .demand
-            .preferred(prefix.id, self.entries, tokens_per_ms, now);
+            .preferred(prefix.id.get(), self.entries, tokens_per_ms, now);
         let of_prefix: u64 = shared.iter().map(|part| part.tokens.get()).sum();
         let own = prompt.input.get().saturating_sub(of_prefix);
-        self.demand.record(prefix.id, own, now);
+        self.demand.record(prefix.id.get(), own, now);
         count
     }
 
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -120,7 +120,7 @@
             let lanes = self.by_lane.iter().filter(|(lane, _)| accepts(lane));
             let lanes: Vec<&Group> = lanes.map(|(_, group)| group).collect();
             let hashes = lanes.iter().flat_map(|group| group.hashes.iter().copied());
-            let ranked = affinity::rank(prefix.id, hashes, preferred + SPARE_PREFERRED);
+            let ranked = affinity::rank(prefix.id.get(), hashes, preferred + SPARE_PREFERRED);
             let member = |index: usize| {
                 let mut rest = index;
                 lanes.iter().find_map(|group| {
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -47,6 +47,25 @@
     pub state: TargetState,
 }
 
+/// One run of a target, from its start to its end.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// The target.
+    pub id: TargetId,
+    /// Its start, as in [`Record::started_at`].
+    pub started_at: Option<u64>,
+}
+
+impl Record {
+    /// The run of the target that registered.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            started_at: self.started_at,
+        }
+    }
+}
+
 /// A change of the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::crash::CrashReport;
+
 /// Interval between heartbeats.
 pub const HEARTBEAT_INTERVAL: Millis = Millis::new(2_000);
 /// An entry whose heartbeat has not changed for this long, while this entry could read it, does not
@@ -40,6 +42,10 @@
     pub key: SmolStr,
     /// The entry is shutting down and owns no accounts.
     pub is_leaving: bool,
+    /// Crashes because of which the entry refuses prompts, for entries that reach the store but no
+    /// other entry.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashReport>,
 }
 
 /// The last heartbeat read of another entry.
@@ -92,6 +98,7 @@
                 addr: None,
                 key: format!("{:032x}", rand::random::<u128>()).into(),
                 is_leaving: false,
+                crashes: Vec::new(),
             },
             known: BTreeMap::new(),
             read_at: None,
@@ -109,6 +116,11 @@
         self.heartbeat.is_leaving = true;
     }
 
+    /// Sets the crashes because of which this entry refuses prompts.
+    pub fn set_crashes(&mut self, crashes: Vec<CrashReport>) {
+        self.heartbeat.crashes = crashes;
+    }
+
     /// Increments the sequence number and returns the heartbeat to write.
     pub fn next_heartbeat(&mut self) -> Heartbeat {
         self.heartbeat.beat += 1;
@@ -120,8 +132,11 @@
         self.heartbeat.key == key
     }
 
-    /// Updates the state from heartbeats that were read.
-    pub fn observe(&mut self, heartbeats: Vec<Heartbeat>, now: Millis) {
+    /// Updates the state from heartbeats that were read, and returns the crashes that they tell of.
+    /// A heartbeat counts for that only once it was seen to change: the store keeps those of entries
+    /// that ended long ago.
+    pub fn observe(&mut self, heartbeats: Vec<Heartbeat>, now: Millis) -> Vec<CrashReport> {
+        let mut crashes = Vec::new();
         // The list contains this entry's own heartbeat if the entry has run before or has written
         // one since. Its key is kept, because entries that cannot reach the store know no other.
         if let Some(own) = heartbeats
@@ -145,6 +160,9 @@
                 known.heartbeat.start == heartbeat.start && known.heartbeat.beat > heartbeat.beat
             });
             if !is_same && !is_older {
+                if known.is_some() {
+                    crashes.extend_from_slice(&heartbeat.crashes);
+                }
                 let known = KnownPeer {
                     heartbeat,
                     changed_at: now,
@@ -154,6 +172,7 @@
             }
         }
         self.read_at = Some(now);
+        crashes
     }
 
     /// Number of running entries, including this one.
@@ -188,6 +207,12 @@
         })
     }
 
+    /// Addresses and keys of the other running entries.
+    pub fn contacts(&self) -> Vec<Contact> {
+        let known = self.known.keys();
+        known.filter_map(|vm| self.contact(vm)).collect()
+    }
+
     /// Returns true if the other entries have had time to read this entry's heartbeat.
     pub fn is_announced(&self) -> bool {
         self.is_announced
@@ -206,13 +231,13 @@
     /// Returns the owner of an account by rendezvous hashing. All entries that have read the same
     /// heartbeats find the same owner.
     pub fn owner(&self, account: &ClientAccountId) -> Option<&VmId> {
-        self.eligible_owners().min_by_key(owner_rank(account))
+        self.assigned(account_key(account))
     }
 
     /// Returns the entries that may draw for an account, its owner first.
     pub fn owner_candidates(&self, account: &ClientAccountId) -> Vec<VmId> {
         let mut ranked: Vec<&VmId> = self.eligible_owners().collect();
-        ranked.sort_by_cached_key(owner_rank(account));
+        ranked.sort_by_cached_key(rank(account_key(account)));
         ranked
             .into_iter()
             .take(MAX_OWNER_CANDIDATES)
@@ -222,12 +247,25 @@
 
     /// Returns true if this entry owns the account.
     pub fn is_owner(&self, account: &ClientAccountId) -> bool {
-        self.is_announced && self.owner(account) == Some(&self.heartbeat.vm)
+        self.is_assigned(account_key(account))
     }
+
+    /// Returns true if this entry is the one that looks after what has this hash.
+    pub fn is_assigned(&self, key: u64) -> bool {
+        self.is_announced && self.assigned(key) == Some(&self.heartbeat.vm)
+    }
+
+    /// Returns the entry that looks after what has this hash.
+    pub fn assigned(&self, key: u64) -> Option<&VmId> {
+        self.eligible_owners().min_by_key(rank(key))
+    }
+}
+
+fn account_key(account: &ClientAccountId) -> u64 {
+    hash::stable(account.as_str().as_bytes())
 }
 
-/// Sort key of entries by their rendezvous weight for an account, largest first.
-fn owner_rank(account: &ClientAccountId) -> impl Fn(&&VmId) -> Reverse<u64> {
-    let key = hash::stable(account.as_str().as_bytes());
+/// Sort key of entries by their rendezvous weight for a hash, largest first.
+fn rank(key: u64) -> impl Fn(&&VmId) -> Reverse<u64> {
     move |vm| Reverse(hash::rendezvous_weight(key, vm.as_str()))
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     answer::{self, ResponseBody},
-    call::Call,
+    call::{Call, PartId, Prompt},
     config::{Account, Configuration, Route},
+    crash::Admission,
     port::Protocol,
     prepaid::{DRAW_LOOKAHEAD, Reservation, Role, Shortage},
     state::State,
@@ -38,6 +39,8 @@
 const EXPECTED_OUTAGE: Millis = DRAW_LOOKAHEAD;
 /// Minimum base of `Retry-After` while the store is unreachable.
 const RETRY_AFTER_OUTAGE: Millis = Millis::new(1_500);
+/// Minimum base of `Retry-After` for a prompt with a part that crashes targets.
+const RETRY_AFTER_REFUSED_PROMPT: Millis = Millis::new(10_000);
 /// Base of `Retry-After` during shutdown: the next attempt of the caller reaches another entry.
 const RETRY_AFTER_SHUTDOWN: Millis = Millis::new(50);
 /// Status in the log of a request whose caller disconnected before the response.
@@ -122,6 +125,9 @@
     pub arrived: Millis,
     /// Deadline of the response.
     pub deadline: Instant,
+    /// The prompt has a refused part, and one target may get it to find out whether it still crashes
+    /// targets.
+    pub is_probe: bool,
 }
 
 impl AdmittedRequest {
@@ -340,7 +346,9 @@
         return Err(Refusal::new(ErrorKind::Draining, detail)
             .with_retry_after(retry_after(RETRY_AFTER_SHUTDOWN)));
     }
+    let is_probe = admit_prompt(state, &call)?;
     Ok(AdmittedRequest {
+        is_probe,
         route: route.clone(),
         account: account.cloned(),
         deadline: Instant::now() + time_limit.duration(),
@@ -352,6 +360,35 @@
     })
 }
 
+/// Refuses a prompt with a part that crashes targets. Returns true if it may be sent to one target
+/// nevertheless.
+fn admit_prompt<P>(state: &State<P>, call: &Call) -> Result<bool, Refusal> {
+    let shared = call.prompt.as_ref().map_or(&[][..], Prompt::shared);
+    let peers = state.peers.borrow();
+    let may_probe = |part: PartId| peers.is_assigned(part.get());
+    let now = state.now();
+    let mut knowledge = state.knowledge.borrow_mut();
+    match knowledge.crashes.admit(shared, may_probe, now) {
+        Admission::Admitted => Ok(false),
+        Admission::Probe(part) => {
+            spdlog::info!("prompt_part_probed", kv: {
+                id = call.id.as_str(),
+                part = part.to_string(),
+            });
+            Ok(true)
+        }
+        Admission::Refused {
+            part,
+            crashes,
+            retry_after: wait,
+        } => {
+            let detail = format!("part {part} was in {crashes} prompts whose targets crashed");
+            let wait = wait.max(RETRY_AFTER_REFUSED_PROMPT);
+            Err(Refusal::new(ErrorKind::PromptRefused, detail).with_retry_after(retry_after(wait)))
+        }
+    }
+}
+
 async fn read_body(
     mut request: AdmittedRequest,
     body: Incoming,
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -10,12 +10,14 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::{AdmittedRequest, Bill, RequestLog, retry_after};
+use super::{AdmittedRequest, Bill, RETRY_AFTER_REFUSED_PROMPT, RequestLog, retry_after};
 use crate::{
     call::{Call, PromptPart},
     choose::Choice,
     config::{RouteKind, Service},
     conn::{Conn, Pool},
+    control::BrokenAnswer,
+    crash::SOUND_AFTER,
     fleet::{FinishedPrefill, Requirements, Verdict},
     port::{Protocol, ResponseInfo, TargetRequestInfo},
     state::State,
@@ -49,6 +51,10 @@
     shared: Vec<PromptPart>,
     /// When the first event of the answer arrived.
     first_event_at: Option<Millis>,
+    /// The target is known to have answered the prompt and not crashed.
+    is_cleared: bool,
+    /// The end of the answer cannot be told from a crash of the target.
+    has_unframed_end: bool,
 }
 
 impl<P> ActiveAttempt<P> {
@@ -70,13 +76,34 @@
                 .as_ref()
                 .map_or_else(Vec::new, |prompt| prompt.shared().to_vec()),
             first_event_at: None,
+            is_cleared: false,
+            has_unframed_end: false,
         }
     }
 
     /// Records that events of the answer have arrived.
     pub fn record_events(&mut self) {
         let now = self.state.now();
-        self.first_event_at.get_or_insert(now);
+        let since = *self.first_event_at.get_or_insert(now);
+        if now.saturating_sub(since) >= SOUND_AFTER {
+            self.clear();
+        }
+    }
+
+    /// Records the end of a successful answer. `is_framed` tells whether the answer itself marks its
+    /// end, or ends with its connection.
+    pub fn record_complete(&mut self, is_framed: bool) {
+        match is_framed {
+            true => self.clear(),
+            false => self.has_unframed_end = true,
+        }
+    }
+
+    fn clear(&mut self) {
+        if !self.is_cleared {
+            self.is_cleared = true;
+            self.state.clear_prompt(&self.shared);
+        }
     }
 
     /// Records that the target has started to respond.
@@ -119,18 +146,49 @@
                 reason = verdict,
             });
         }
-        if self.verdict == Verdict::Failed && !self.shared.is_empty() {
+        if self.shared.is_empty() {
+            return;
+        }
+        if self.verdict == Verdict::Failed {
             self.log_broken_prompt(now);
         }
+        if self.verdict == Verdict::Failed || self.has_unframed_end {
+            self.report_broken_answer();
+        }
     }
 }
 
 impl<P> ActiveAttempt<P> {
+    /// Has the target checked if the prompt may have crashed it.
+    fn report_broken_answer(&mut self) {
+        let fleet = self.state.fleet.borrow();
+        let target = fleet.get(&self.target);
+        let Some(target) = target.map(|target| target.record.incarnation()) else {
+            return;
+        };
+        drop(fleet);
+        let shared = std::mem::take(&mut self.shared);
+        let answer = BrokenAnswer {
+            target,
+            cleared: if self.has_unframed_end {
+                shared.clone()
+            } else {
+                Vec::new()
+            },
+            suspects: if self.is_cleared { Vec::new() } else { shared },
+        };
+        if answer.suspects.is_empty() && answer.cleared.is_empty() {
+            return;
+        }
+        self.state.broken_answers.borrow_mut().push(answer);
+        self.state.answer_broken.notify_one();
+    }
+
     /// Logs what a target was working on when it broke off, so that the prompts that break on
     /// several targets can be compared.
     fn log_broken_prompt(&self, now: Millis) {
         let parts = self.shared.iter().take(MAX_LOGGED_PARTS);
-        let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        let parts: Vec<String> = parts.map(|part| part.id.to_string()).collect();
         let events_for = self.first_event_at.map(|at| now.saturating_sub(at));
         spdlog::info!("prompt_broken", kv: {
             id = self.request.as_str(),
@@ -240,6 +298,9 @@
             if self.request.time_left() < MIN_TIME_LEFT {
                 return Err(self.deadline_refusal());
             }
+            if self.has_refused_part() {
+                return Err(self.prompt_refusal());
+            }
             let chosen = self.choose();
             let Some((target, choice)) = chosen else {
                 return Err(self.failure_refusal("no target of the service can take it"));
@@ -282,6 +343,21 @@
         retry_budget.take(&self.service, entries, now)
     }
 
+    /// Returns true if targets have crashed on a part of the prompt since the request was admitted.
+    fn has_refused_part(&self) -> bool {
+        let prompt = self.request.call.prompt.as_ref();
+        let Some(prompt) = prompt.filter(|_| !self.is_probe()) else {
+            return false;
+        };
+        let knowledge = self.state.knowledge.borrow();
+        knowledge.crashes.is_refused(prompt.shared())
+    }
+
+    /// Returns true if the request has a refused part and is let through to one target.
+    fn is_probe(&self) -> bool {
+        self.request.is_probe && self.sends == 0
+    }
+
     fn choose(&self) -> Option<(TargetId, Choice)> {
         let prompt = self.request.call.prompt.as_ref();
         let entries = self.state.entries();
@@ -325,6 +401,15 @@
         .with_retry_after(retry_after(RETRY_AFTER_TARGET))
     }
 
+    fn prompt_refusal(&self) -> Refusal {
+        let detail = "targets crashed on a part of the prompt";
+        if self.may_have_run {
+            return Refusal::new(ErrorKind::OutcomeUnknown, detail);
+        }
+        Refusal::new(ErrorKind::PromptRefused, detail)
+            .with_retry_after(retry_after(RETRY_AFTER_REFUSED_PROMPT))
+    }
+
     fn failure_refusal(&self, reason: &str) -> Refusal {
         if self.may_have_run {
             return Refusal::new(ErrorKind::OutcomeUnknown, reason);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,12 +10,14 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    call::PromptPart,
     choose,
     config::Configuration,
-    control::PeerConnections,
+    control::{BrokenAnswer, LoanFailures, PeerConnections},
     daemon::Settings,
     fleet::Fleet,
     member::TargetList,
+    news::{Knowledge, News},
     peers::Peers,
     port::StoreError,
     prepaid::{Allocations, Role},
@@ -46,6 +48,18 @@
     pub peers: RefCell<Peers>,
     /// Connections to the other entries.
     pub peer_connections: RefCell<PeerConnections>,
+    /// Recent failures to get loans.
+    pub loan_failures: RefCell<LoanFailures>,
+    /// What this entry and others have learnt about targets.
+    pub knowledge: RefCell<Knowledge>,
+    /// Notified when there may be news for other entries.
+    pub news_added: Notify,
+    /// No other entry answered lately, though some run.
+    pub is_isolated: Cell<bool>,
+    /// Broken answers whose targets may have crashed.
+    pub broken_answers: RefCell<Vec<BrokenAnswer>>,
+    /// Notified when a broken answer is added.
+    pub answer_broken: Notify,
     /// Prepaid tokens allocated to this entry.
     pub allocations: RefCell<Allocations>,
     /// Whether the store answers this entry.
@@ -85,6 +99,12 @@
             ),
             peers: RefCell::new(Peers::new(settings.vm.clone(), incarnation)),
             peer_connections: RefCell::default(),
+            loan_failures: RefCell::default(),
+            knowledge: RefCell::default(),
+            news_added: Notify::new(),
+            is_isolated: Cell::new(false),
+            broken_answers: RefCell::default(),
+            answer_broken: Notify::new(),
             allocations: RefCell::new(Allocations::new(settings.vm.clone(), incarnation)),
             store_health: RefCell::default(),
             prepaid_failures: Cell::new(0),
@@ -137,6 +157,23 @@
         result
     }
 
+    /// Merges news of another entry.
+    pub fn learn(&self, news: News) {
+        if news.is_empty() {
+            return;
+        }
+        self.knowledge.borrow_mut().merge(news, self.now());
+        self.news_added.notify_one();
+    }
+
+    /// Records that a prompt with these shared parts was answered.
+    pub fn clear_prompt(&self, parts: &[PromptPart]) {
+        let mut knowledge = self.knowledge.borrow_mut();
+        if knowledge.crashes.clear(parts) {
+            self.news_added.notify_one();
+        }
+    }
+
     /// Passes the changed list of targets to the fleet.
     pub fn refresh_fleet(&self) {
         let targets = self.targets.borrow();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -119,6 +119,9 @@
         pool.put_idle(conn, info.keep_alive);
     }
     let is_failure = head.status.is_server_error();
+    if head.status.is_success() {
+        attempt.record_complete(is_framed(&head.headers));
+    }
     attempt.end(if is_failure {
         Verdict::Failed
     } else {
@@ -148,6 +151,11 @@
     ))
 }
 
+/// Returns true if a message with these headers marks its own end.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn closes_connection(headers: &HeaderMap) -> bool {
     let value = headers.get(header::CONNECTION);
     let value = value.and_then(|value| value.to_str().ok());
@@ -268,7 +276,9 @@
 
     /// Ends the attempt successfully and keeps the connection unless the target closes it.
     fn finish(&mut self) {
-        if let Some(response) = self.response.take() {
+        if let Some(mut response) = self.response.take() {
+            let is_framed = is_framed(&response.head.headers);
+            response.attempt.record_complete(is_framed);
             let is_reusable = !closes_connection(&response.head.headers);
             if is_reusable {
                 response
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -4,6 +4,8 @@
 mod choose;
 #[path = "gateway/config.rs"]
 mod config;
+#[path = "gateway/crash.rs"]
+mod crash;
 #[path = "gateway/event.rs"]
 mod event;
 #[path = "gateway/fleet.rs"]
@@ -14,6 +16,8 @@
 mod loan;
 #[path = "gateway/member.rs"]
 mod member;
+#[path = "gateway/news.rs"]
+mod news;
 #[path = "gateway/peers.rs"]
 mod peers;
 #[path = "gateway/prepaid.rs"]
--- a/crates/gateway/tests/gateway/choose.rs
+++ b/crates/gateway/tests/gateway/choose.rs
@@ -1,7 +1,7 @@
 //! Target selection under typical load patterns.
 
 use cyc_gateway::{
-    call::PromptPart,
+    call::{PartId, PromptPart},
     choose::{Candidate, LONG_PROMPT_TOKENS, Lane, Options, PromptInput, choose, lanes},
 };
 use cyc_types::Tokens;
@@ -26,7 +26,7 @@
 
 fn parts(prefix: u64) -> [PromptPart; 2] {
     let part = |id, tokens| PromptPart {
-        id,
+        id: PartId::new(id),
         tokens: Tokens::new(tokens),
     };
     [part(1, 2_520), part(prefix, 3_780)]
@@ -106,7 +106,7 @@
     for prefix in 0..50 {
         for (input, expected) in [(LONG_PROMPT_TOKENS, Lane::Long), (700, Lane::Short)] {
             let shared = [PromptPart {
-                id: prefix,
+                id: PartId::new(prefix),
                 tokens: Tokens::new(170),
             }];
             let prompt = PromptInput {
--- a/crates/gateway/tests/gateway/group.rs
+++ b/crates/gateway/tests/gateway/group.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cyc_gateway::{
-    call::{Prompt, PromptPart},
+    call::{PartId, Prompt, PromptPart},
     choose::{Choice, Options},
     fleet::{FinishedPrefill, Fleet, Requirements, Verdict},
     member::{Record, TargetState},
@@ -59,7 +59,7 @@
 /// A long prompt whose first 6,300 tokens other prompts with the same prefix share.
 fn long_prompt(prefix: u64, own: u64) -> Prompt {
     let part = |id, tokens| PromptPart {
-        id,
+        id: PartId::new(id),
         tokens: Tokens::new(tokens),
     };
     Prompt {
@@ -138,7 +138,7 @@
     fn prefill(&mut self, target: &TargetId, prompt: &Prompt) -> Millis {
         let shared = prompt.shared().iter();
         let uncached: u64 = shared
-            .filter(|part| self.cached.insert((part.id, target.clone())))
+            .filter(|part| self.cached.insert((part.id.get(), target.clone())))
             .map(|part| part.tokens.get())
             .sum();
         let own = prompt.parts.last().map_or(0, |part| part.tokens.get());
--- /dev/null
+++ b/crates/gateway/tests/gateway/news.rs
@@ -0,0 +1,372 @@
+//! News between entries, played without a network: each entry sees only its own requests.
+
+use std::collections::BTreeSet;
+
+use cyc_gateway::{
+    call::PartId,
+    crash::CRASHES_TO_REFUSE,
+    news::{BATCH_TIME, Digest, FANOUT, INTERVAL, Knowledge, News, NewsReply, select},
+};
+use cyc_types::Millis;
+use googletest::prelude::*;
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+
+use super::crash::{parts, target};
+
+const BAD: u64 = 2;
+/// The time within which all entries have to know what one entry says.
+const CONTACT_TIME: Millis = Millis::new(3_000);
+const SIZES: [usize; 3] = [2, 5, 103];
+
+/// What happens to the messages between entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// A third of the messages are lost.
+    Lost,
+    /// Every message arrives twice, the second time late.
+    Twice,
+    /// Messages take up to 400 ms.
+    Late,
+    /// Two halves of the entries do not reach each other but for one entry.
+    Cut,
+}
+
+const FAULTS: [Fault; 5] = [
+    Fault::None,
+    Fault::Lost,
+    Fault::Twice,
+    Fault::Late,
+    Fault::Cut,
+];
+
+#[derive(Clone)]
+enum Delivery {
+    /// News that were sent at once.
+    News(News),
+    /// A comparison by this entry.
+    Comparison { from: usize, digest: Digest },
+    /// The reply of this entry to a comparison.
+    Reply { from: usize, reply: NewsReply },
+}
+
+struct Entry {
+    knowledge: Knowledge,
+    /// When news that are waiting are sent.
+    sends_at: Option<Millis>,
+    compares_at: Millis,
+    /// Does not run before this time.
+    frozen_until: Millis,
+}
+
+struct Fleet {
+    entries: Vec<Entry>,
+    in_transit: Vec<(Millis, usize, Delivery)>,
+    now: Millis,
+    fault: Fault,
+    rng: StdRng,
+    /// Messages so far.
+    messages: usize,
+}
+
+impl Fleet {
+    fn new(count: usize, fault: Fault, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let entries = (0..count).map(|_| Entry {
+            knowledge: Knowledge::default(),
+            sends_at: None,
+            compares_at: Millis::new(rng.random_range(0..INTERVAL.get())),
+            frozen_until: Millis::ZERO,
+        });
+        Self {
+            entries: entries.collect(),
+            in_transit: Vec::new(),
+            now: Millis::new(1_000),
+            fault,
+            rng,
+            messages: 0,
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let half = self.entries.len() / 2;
+        let is_bridge = |entry: usize| entry == 0;
+        self.fault != Fault::Cut || is_bridge(from) || is_bridge(to) || (from < half) == (to < half)
+    }
+
+    /// Returns false if the message does not arrive.
+    fn send(&mut self, from: usize, to: usize, delivery: Delivery) -> bool {
+        self.messages += 1;
+        let is_lost = self.fault == Fault::Lost && self.rng.random_bool(0.33);
+        if is_lost || !self.reaches(from, to) {
+            return false;
+        }
+        let delay = match self.fault {
+            Fault::Late => self.rng.random_range(1..400),
+            _ => 1,
+        };
+        let arrives = self.now + Millis::new(delay);
+        if self.fault == Fault::Twice {
+            let again = self.now + Millis::new(1_500);
+            self.in_transit.push((again, to, delivery.clone()));
+        }
+        self.in_transit.push((arrives, to, delivery));
+        true
+    }
+
+    /// Advances by one millisecond.
+    fn step(&mut self) {
+        self.now += Millis::new(1);
+        let now = self.now;
+        let due: Vec<usize> = (0..self.in_transit.len())
+            .filter(|index| {
+                let (at, to, _) = &self.in_transit[*index];
+                *at <= now && self.entries[*to].frozen_until <= now
+            })
+            .collect();
+        for index in due.into_iter().rev() {
+            let (_, to, delivery) = self.in_transit.swap_remove(index);
+            self.receive(to, delivery);
+        }
+        let others = |index: usize, count: usize| -> Vec<usize> {
+            (0..count).filter(|other| *other != index).collect()
+        };
+        let count = self.entries.len();
+        for index in 0..count {
+            let entry = &mut self.entries[index];
+            if entry.frozen_until > now {
+                continue;
+            }
+            if entry.sends_at.is_some_and(|at| at <= now) {
+                entry.sends_at = None;
+                let news = entry.knowledge.take_news(now);
+                if !news.is_empty() {
+                    let peers = others(index, count);
+                    let chosen: Vec<usize> = select(&peers, FANOUT, &mut self.rng)
+                        .into_iter()
+                        .copied()
+                        .collect();
+                    for to in chosen {
+                        self.send(index, to, Delivery::News(news.clone()));
+                    }
+                }
+            }
+            let entry = &mut self.entries[index];
+            if entry.compares_at <= now {
+                entry.compares_at = now + INTERVAL;
+                let digest = entry.knowledge.digest(now);
+                let peers = others(index, count);
+                let tried: Vec<usize> = select(&peers, 3, &mut self.rng)
+                    .into_iter()
+                    .copied()
+                    .collect();
+                let comparison = Delivery::Comparison {
+                    from: index,
+                    digest,
+                };
+                // An entry that does not answer is followed by the next one.
+                for to in tried {
+                    if self.send(index, to, comparison.clone()) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, to: usize, delivery: Delivery) {
+        let now = self.now;
+        let entry = &mut self.entries[to];
+        match delivery {
+            Delivery::News(news) => {
+                entry.knowledge.merge(news, now);
+                entry.sends_at.get_or_insert(now + BATCH_TIME);
+            }
+            Delivery::Reply { from, reply } => {
+                let unknown = entry.knowledge.accept(reply, now);
+                entry.sends_at.get_or_insert(now + BATCH_TIME);
+                if !unknown.is_empty() {
+                    self.send(to, from, Delivery::News(unknown));
+                }
+            }
+            Delivery::Comparison { from, digest } => {
+                let reply = entry.knowledge.answer(News::default(), Some(&digest), now);
+                self.send(to, from, Delivery::Reply { from: to, reply });
+            }
+        }
+    }
+
+    fn run(&mut self, time: Millis) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// A target crashes under a prompt of this entry.
+    fn crash(&mut self, entry: usize, index: usize, ids: &[u64]) {
+        let now = self.now;
+        let entry = &mut self.entries[entry];
+        let crashes = &mut entry.knowledge.crashes;
+        crashes.record(&target(index), &parts(ids), now);
+        entry.sends_at.get_or_insert(now + BATCH_TIME);
+    }
+
+    fn refusing(&self) -> usize {
+        let refuses = |entry: &&Entry| entry.knowledge.crashes.is_refused(&parts(&[1, BAD]));
+        self.entries.iter().filter(refuses).count()
+    }
+
+    /// Crashes, 300 ms apart and each at another entry, of targets that got the bad part, until no
+    /// entry that runs would send it; returns their number.
+    fn crash_until_refused(&mut self, most: usize) -> usize {
+        for index in 0..most {
+            let running: Vec<usize> = (0..self.entries.len())
+                .filter(|entry| self.entries[*entry].frozen_until <= self.now)
+                .collect();
+            let sends = running.into_iter().filter(|entry| {
+                let crashes = &self.entries[*entry].knowledge.crashes;
+                !crashes.is_refused(&parts(&[1, BAD]))
+            });
+            let sends: Vec<usize> = sends.collect();
+            if sends.is_empty() {
+                return index;
+            }
+            let entry = sends[self.rng.random_range(0..sends.len())];
+            self.crash(entry, index, &[1, BAD]);
+            self.run(Millis::new(300));
+        }
+        most
+    }
+}
+
+/// Guards against crashes that are counted by each entry for itself: with many entries none of them
+/// ever sees enough, and the part ends as many targets as there are entries, times three.
+#[gtest]
+fn a_part_that_crashes_targets_is_refused_everywhere_within_the_contact_time() {
+    for count in SIZES {
+        for fault in FAULTS {
+            for seed in 0..5 {
+                let mut fleet = Fleet::new(count, fault, seed);
+                fleet.crash_until_refused(5);
+                fleet.run(CONTACT_TIME);
+                let detail = format!("{count} entries, {fault:?}, seed {seed}");
+                assert_eq!(fleet.refusing(), count, "{detail}");
+            }
+        }
+    }
+}
+
+/// Guards against an entry that starts after the news, and one that is frozen while they spread.
+#[gtest]
+fn entries_that_start_or_wake_later_learn_what_the_others_know() {
+    for count in SIZES {
+        for seed in 0..5 {
+            let mut fleet = Fleet::new(count, Fault::None, seed);
+            let last = count - 1;
+            fleet.entries[last].frozen_until = Millis::new(20_000);
+            let crashes = fleet.crash_until_refused(10);
+            expect_that!(crashes, le(CRASHES_TO_REFUSE + 1));
+            fleet.run(Millis::new(20_000).saturating_sub(fleet.now));
+            fleet.run(CONTACT_TIME);
+            assert_eq!(fleet.refusing(), count, "{count} entries, seed {seed}");
+            fleet.entries[0].knowledge = Knowledge::default();
+            fleet.run(CONTACT_TIME);
+            assert_eq!(fleet.refusing(), count, "{count} entries, seed {seed}");
+        }
+    }
+}
+
+/// Guards against answers that only the entry that got them counts: the part of sound prompts stays
+/// refused elsewhere.
+#[gtest]
+fn an_answer_at_one_entry_clears_the_part_everywhere() {
+    for count in SIZES {
+        for fault in FAULTS {
+            let mut fleet = Fleet::new(count, fault, 7);
+            fleet.crash_until_refused(5);
+            fleet.run(CONTACT_TIME);
+            let now = fleet.now;
+            let entry = &mut fleet.entries[count - 1];
+            entry.knowledge.crashes.clear(&parts(&[1, BAD]));
+            entry.sends_at = Some(now + BATCH_TIME);
+            fleet.run(CONTACT_TIME);
+            assert_eq!(fleet.refusing(), 0, "{count} entries, {fault:?}");
+        }
+    }
+}
+
+/// A prompt on a target.
+struct Running {
+    entry: usize,
+    target: usize,
+    prefix: u64,
+    ends_at: Millis,
+}
+
+/// Guards against sound prompts refused while targets fail one after the other for another reason: 24
+/// of 60 targets end one second apart, and restarted ones too, under prompts with hot and cold
+/// prefixes.
+#[gtest]
+fn targets_that_fail_for_another_reason_bar_no_sound_prompt() {
+    for count in SIZES {
+        let mut refused = BTreeSet::new();
+        for seed in 0..3 {
+            let mut fleet = Fleet::new(count, Fault::None, seed);
+            let mut running: Vec<Running> = Vec::new();
+            for ms in 0..24_000 {
+                fleet.step();
+                let now = fleet.now;
+                if ms % 10 == 0 {
+                    // The square makes low prefixes hot, and high ones cold.
+                    let hot: f64 = fleet.rng.random();
+                    running.push(Running {
+                        entry: fleet.rng.random_range(0..count),
+                        target: fleet.rng.random_range(0..60),
+                        prefix: 10 + (hot * hot * 300.0) as u64,
+                        ends_at: now + Millis::new(fleet.rng.random_range(100..1_000)),
+                    });
+                }
+                let (ended, rest): (Vec<Running>, Vec<Running>) =
+                    running.into_iter().partition(|run| run.ends_at <= now);
+                running = rest;
+                for run in ended {
+                    let entry = &mut fleet.entries[run.entry];
+                    let crashes = &mut entry.knowledge.crashes;
+                    if crashes.clear(&parts(&[1, run.prefix])) {
+                        entry.sends_at.get_or_insert(now + BATCH_TIME);
+                    }
+                }
+                if ms % 1_000 == 999 {
+                    let ends = fleet.rng.random_range(0..60);
+                    let (crashed, rest): (Vec<Running>, Vec<Running>) =
+                        running.into_iter().partition(|run| run.target == ends);
+                    running = rest;
+                    for run in crashed {
+                        fleet.crash(run.entry, 100 * ends + ms / 1_000, &[1, run.prefix]);
+                    }
+                }
+                for entry in &fleet.entries {
+                    refused.extend(entry.knowledge.crashes.refused_parts().map(PartId::get));
+                }
+            }
+        }
+        expect_that!(refused, is_empty(), "{count} entries");
+    }
+}
+
+/// Guards against news that cost more as the fleet grows: a crash that all entries see is told with
+/// a bounded number of messages for each entry.
+#[gtest]
+fn messages_for_each_entry_do_not_grow_with_the_fleet() {
+    let mut of_each = Vec::new();
+    for count in [5, 103] {
+        let mut fleet = Fleet::new(count, Fault::None, 3);
+        for entry in 0..count {
+            fleet.crash(entry, 1, &[1, 1_000 + entry as u64]);
+        }
+        fleet.run(Millis::SECOND);
+        of_each.push(fleet.messages as f64 / count as f64);
+    }
+    expect_that!(of_each[1], le(40.0));
+}
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -239,7 +239,7 @@
 /// ids of the parts and their order.
 fn prefix_keys(parts: &[PromptPart]) -> impl Iterator<Item = u64> + '_ {
     parts.iter().scan(0_u64, |key, part| {
-        *key = key.rotate_left(7) ^ part.id.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        *key = key.rotate_left(7) ^ part.id.get().wrapping_mul(0x9E37_79B9_7F4A_7C15);
         Some(*key)
     })
 }
--- a/crates/model/src/traffic.rs
+++ b/crates/model/src/traffic.rs
@@ -2,7 +2,7 @@
 
 use std::f64::consts::TAU;
 
-use cyc_gateway::call::{Prompt, PromptPart};
+use cyc_gateway::call::{PartId, Prompt, PromptPart};
 use cyc_types::{Tokens, hash};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
@@ -120,7 +120,7 @@
             events,
         } => {
             let part = |id, tokens| PromptPart {
-                id,
+                id: PartId::new(id),
                 tokens: Tokens::new(tokens),
             };
             let mut parts = Vec::new();
--- a/crates/model/tests/model/engine.rs
+++ b/crates/model/tests/model/engine.rs
@@ -1,6 +1,6 @@
 //! Steps, prefix cache and queue of a simulated engine.
 
-use cyc_gateway::call::{Prompt, PromptPart};
+use cyc_gateway::call::{PartId, Prompt, PromptPart};
 use cyc_model::{
     engine::{Engine, JobId, Step},
     scenario::EngineSpec,
@@ -28,7 +28,7 @@
     let parts: Vec<PromptPart> = parts
         .iter()
         .map(|(id, tokens)| PromptPart {
-            id: *id,
+            id: PartId::new(*id),
             tokens: Tokens::new(*tokens),
         })
         .collect();
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -39,3 +39,5 @@
 pub const STORE_CALLS: &str = "store_calls.";
 /// Counter by kind: calls of entries to a store relay.
 pub const RELAY_CALLS: &str = "relay_calls.";
+/// Counter: targets that ended under requests of this process.
+pub const TARGETS_CRASHED: &str = "targets_crashed";
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use cyc_gateway::peers::Heartbeat;
+use cyc_gateway::{member::Incarnation, peers::Heartbeat};
 use cyc_types::{Millis, VmId};
 
 /// An entry whose heartbeat did not arrive for this long uses another path.
 const MEMBER_TIMEOUT: Millis = Millis::new(5_000);
 
+/// Members whose heartbeats keep the crashes that they tell of.
+const MAX_CRASH_REPORTERS: usize = 2;
+
 #[derive(Debug, Clone)]
 struct Member {
     heartbeat: Heartbeat,
@@ -25,10 +28,14 @@
 
 impl Roster {
     /// Records the heartbeat of an entry. Returns true if the store should have it soon: the entry
-    /// is new here, has started again or shuts down.
+    /// is new here, has started again, shuts down or refuses other prompts than before.
     pub fn record(&mut self, heartbeat: Heartbeat, now: Millis) -> bool {
         let vm = heartbeat.vm.clone();
-        let identity = |heartbeat: &Heartbeat| (heartbeat.start, heartbeat.is_leaving);
+        let identity = |heartbeat: &Heartbeat| {
+            let targets = heartbeat.crashes.iter().map(|crash| crash.target.clone());
+            let targets: Vec<Incarnation> = targets.collect();
+            (heartbeat.start, heartbeat.is_leaving, targets)
+        };
         let new = identity(&heartbeat);
         let member = Member {
             heartbeat,
@@ -46,12 +53,20 @@
             .collect();
     }
 
-    /// Drops the members that use another path now, and returns the heartbeats of the others.
+    /// Drops the members that use another path now, and returns the heartbeats of the others. Most
+    /// entries know the same crashes, so only a few heartbeats keep them.
     pub fn members(&mut self, now: Millis) -> Vec<Heartbeat> {
         self.members
             .retain(|_, member| now.saturating_sub(member.heard_at) <= MEMBER_TIMEOUT);
         let members = self.members.values();
-        members.map(|member| member.heartbeat.clone()).collect()
+        let mut all: Vec<Heartbeat> = members.map(|member| member.heartbeat.clone()).collect();
+        let with_crashes = all
+            .iter_mut()
+            .filter(|heartbeat| !heartbeat.crashes.is_empty());
+        for heartbeat in with_crashes.skip(MAX_CRASH_REPORTERS) {
+            heartbeat.crashes.clear();
+        }
+        all
     }
 
     /// Returns true if no entry uses the relay.
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -99,6 +99,8 @@
     BudgetExhausted,
     /// The budget may have tokens left, but this process cannot reserve any at present.
     BudgetUnreachable,
+    /// The prompt has a part that has crashed several targets.
+    PromptRefused,
     /// The client account has more requests in flight than its share allows.
     AccountLimited,
     /// The pool of the route class is full, and its queue is too long to meet the deadline.
@@ -177,6 +179,9 @@
             Self::BudgetUnreachable => {
                 response(503, NotRun, Later, "No budget is reachable from here")
             }
+            Self::PromptRefused => {
+                response(503, NotRun, Later, "A part of the prompt crashes targets")
+            }
             Self::AccountLimited => response(429, NotRun, Later, "The account is over its share"),
             Self::Overloaded => response(503, NotRun, Later, "Too much work is queued"),
             Self::DeadlineBeforeStart => {
