--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Returns true if events of the answer have arrived.
+    pub fn has_events(&self) -> bool {
+        self.first_event_at.is_some()
+    }
+
     /// Records the end of a successful answer. `is_framed` tells whether the answer itself marks its
     /// end, or ends with its connection.
     pub fn record_complete(&mut self, is_framed: bool) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -235,7 +235,7 @@
                 tokio::time::timeout_at(self.attempts.request.deadline, response.body.frame());
             match frame.await {
                 Err(_) => return StreamRead::DeadlineExceeded,
-                Ok(None) if self.splitter.is_empty() => return StreamRead::End,
+                Ok(None) if self.splitter.is_empty() => return self.read_end(),
                 Ok(None) => return StreamRead::Broken("the stream ended inside an event".into()),
                 Ok(Some(Err(error))) => return StreamRead::Broken(error.to_string()),
                 Ok(Some(Ok(frame))) => {
@@ -250,6 +250,20 @@
         }
     }
 
+    /// The end of the target's response between two events. One that is not marked in the response
+    /// may be a failure of the target; before the first event it is taken for one.
+    fn read_end(&self) -> StreamRead {
+        let response = self.response.as_ref();
+        let is_empty = self.last_id.is_none()
+            && response.is_some_and(|response| {
+                !response.attempt.has_events() && !is_framed(&response.head.headers)
+            });
+        match is_empty {
+            true => StreamRead::Broken("the stream ended before its first event".into()),
+            false => StreamRead::End,
+        }
+    }
+
     /// Takes all complete events from the splitter, without those that the caller already has.
     fn take_events(&mut self) -> Option<Bytes> {
         let mut all = BytesMut::new();
