gateway: entries together keep to the limit that a target names

Cause: no entry reads the header; and an entry that reads it alone would send as much as all together may. The class is that of the crashes: a word that a target says to all stays with the entry that hears it. Evidence: the rates of both limited engines do not change when they name their limit; the header's name is nowhere in the sources. Ruled out: preferences that override a limit (one engine has none). Change: one entry, by rendezvous hashing over the running ones, grants the requests to a limited target; the others ask it before each send and use other targets when it denies. Limits are told to all entries as news, their ends by the target's answers to later requests and by the granting entry. An entry that has just seen the fleet change grants 0.4 of the limit, since two may grant; entries that do not reach the granting one take turns of 0.4 of the limit together. Values that are no plain decimal are logged and neither set nor end a limit. Weighed: an even part for each entry (103 entries and 1 a second: a request in 103 s, saved credit sent at once), phases by a common clock (clocks jump), permits in the store (a call for each request).

--- a/crates/gateway/benches/choose.rs
+++ b/crates/gateway/benches/choose.rs
@@ -51,6 +51,7 @@
         connections: 100,
         tried: &[],
         may_probe: true,
+        may_ask: true,
     };
     let mut group = c.benchmark_group("fleet_choose");
     group.warm_up_time(Duration::from_millis(300));
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,6 +2,7 @@
 //! prepaid tokens.
 
 mod config;
+mod grants;
 mod heartbeats;
 mod loans;
 mod news;
@@ -10,6 +11,7 @@
 mod targets;
 
 pub use config::watch_configuration;
+pub use grants::{acquire_grant, report_limits};
 pub use heartbeats::exchange_heartbeats;
 pub use loans::{LoanFailures, return_surplus, run_loans, run_token_returns};
 pub use news::{BrokenAnswer, check_targets, compare_news, spread_news};
--- /dev/null
+++ b/crates/gateway/src/control/grants.rs
@@ -0,0 +1,211 @@
+//! Asks the granting entry before a request is sent to a limited target, and answers those that ask.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use cadence::CountedExt as _;
+use cyc_types::{Millis, TargetId, hash};
+use futures::future::join_all;
+use tokio::time::Instant;
+
+use super::peer_call::{self, GRANT_PATH};
+use crate::{
+    limit::{GrantReply, GrantRequest, LimitWord, is_settled},
+    member::TargetIncarnation,
+    peers::Contact,
+    port::Protocol,
+    state::State,
+};
+
+/// Timeout of asking for a grant: a round trip between regions.
+const GRANT_TIMEOUT: Millis = Millis::new(120);
+/// A granting entry that did not answer is not asked again for this long.
+const UNRESPONSIVE_BACKOFF: Millis = Millis::SECOND;
+/// How long no request is sent to a limited target while the granting entry is not known.
+const STARTUP_DENIAL: Millis = Millis::new(300);
+/// How long a target is not used if this entry stops and another one will grant its requests.
+const SHUTDOWN_DENIAL: Millis = Millis::new(500);
+
+/// The entry that grants the requests to a target.
+enum GrantingEntry {
+    /// This one.
+    Own,
+    /// Another one that can be asked.
+    Other(Contact),
+    /// Another one that does not answer.
+    Unreachable,
+    /// Not known yet.
+    Unknown,
+}
+
+fn grant_key(target: &TargetId) -> u64 {
+    hash::stable(target.as_str().as_bytes())
+}
+
+fn granting_entry<P>(state: &State<P>, target: &TargetId) -> GrantingEntry {
+    let peers = state.peers.borrow();
+    if !peers.is_announced() {
+        return GrantingEntry::Unknown;
+    }
+    let Some(vm) = peers.assigned(grant_key(target)) else {
+        return GrantingEntry::Unreachable;
+    };
+    if *vm == state.vm {
+        return GrantingEntry::Own;
+    }
+    let contact = peers.contact(vm);
+    contact
+        .filter(|contact| !is_unresponsive(state, contact.addr))
+        .map_or(GrantingEntry::Unreachable, GrantingEntry::Other)
+}
+
+fn is_unresponsive<P>(state: &State<P>, addr: SocketAddr) -> bool {
+    let unresponsive = state.unresponsive_grantors.borrow();
+    unresponsive
+        .get(&addr)
+        .is_some_and(|until| *until > Instant::now())
+}
+
+/// Returns true if a request may be sent to a target now. Otherwise the target is not chosen again
+/// before the time at which it may be.
+pub async fn acquire_grant<P>(state: &State<P>, id: &TargetId) -> bool {
+    let now = state.now();
+    let asked = {
+        let mut fleet = state.fleet.borrow_mut();
+        let target = fleet.get(id).map(|target| target.record.incarnation());
+        let word = fleet.limit_mut(id).map(|limit| limit.word(now));
+        target.zip(word)
+    };
+    let Some((target, word)) = asked else {
+        return true;
+    };
+    let reply = match granting_entry(state, id) {
+        GrantingEntry::Own => Some(grant(state, &target, word)),
+        GrantingEntry::Other(contact) => ask(state, &contact, &target, word).await,
+        GrantingEntry::Unreachable => None,
+        GrantingEntry::Unknown => Some(GrantReply::Denied(STARTUP_DENIAL)),
+    };
+    let is_granted = apply(state, id, reply);
+    if !is_granted {
+        state.metrics.incr(cyc_obs::names::LIMIT_DENIALS).ok();
+    }
+    is_granted
+}
+
+/// Applies the reply of the granting entry, `None` if it did not answer. Returns true if the request
+/// may be sent.
+fn apply<P>(state: &State<P>, id: &TargetId, reply: Option<GrantReply>) -> bool {
+    let now = state.now();
+    let entries = state.entries();
+    let mut fleet = state.fleet.borrow_mut();
+    match reply {
+        Some(GrantReply::Granted) => true,
+        Some(GrantReply::Unlimited) => {
+            fleet.remove_limit(id, now);
+            true
+        }
+        Some(GrantReply::Denied(time)) => {
+            if let Some(limit) = fleet.limit_mut(id) {
+                limit.deny(time, now);
+            }
+            false
+        }
+        None => {
+            let limit = fleet.limit_mut(id);
+            limit.is_none_or(|limit| limit.take_turn(entries, rand::random(), now))
+        }
+    }
+}
+
+/// Decides about a request as the granting entry.
+fn grant<P>(state: &State<P>, target: &TargetIncarnation, word: LimitWord) -> GrantReply {
+    if state.is_stopping() {
+        return GrantReply::Denied(SHUTDOWN_DENIAL);
+    }
+    let now = state.now();
+    let peers = state.peers.borrow();
+    let is_settled =
+        peers.is_assigned(grant_key(&target.id)) && is_settled(peers.changed_at(), now);
+    let mut grantor = state.grantor.borrow_mut();
+    grantor.request(target, word, is_settled, now)
+}
+
+async fn ask<P>(
+    state: &State<P>,
+    contact: &Contact,
+    target: &TargetIncarnation,
+    word: LimitWord,
+) -> Option<GrantReply> {
+    let request = GrantRequest {
+        key: contact.key.clone(),
+        target: target.clone(),
+        word,
+        is_asking: true,
+    };
+    let reply = peer_call::call(state, contact.addr, GRANT_PATH, &request, GRANT_TIMEOUT).await;
+    let outcome = match &reply {
+        Ok(reply) => format!("{reply:?}"),
+        Err(error) => error.to_string(),
+    };
+    spdlog::debug!("grant_requested", kv: {
+        target = target.id.as_str(),
+        entry = contact.vm.as_str(),
+        outcome = outcome,
+    });
+    if reply.is_err() {
+        let until = Instant::now() + UNRESPONSIVE_BACKOFF.duration();
+        let mut unresponsive = state.unresponsive_grantors.borrow_mut();
+        unresponsive.retain(|_, until| *until > Instant::now());
+        unresponsive.insert(contact.addr, until);
+    }
+    reply.ok()
+}
+
+/// Answers another entry that asks for a grant or reports a limit.
+pub fn handle_grant<P>(state: &State<P>, request: &GrantRequest) -> GrantReply {
+    if request.is_asking {
+        return grant(state, &request.target, request.word);
+    }
+    let mut grantor = state.grantor.borrow_mut();
+    grantor.report(&request.target, request.word, state.now());
+    GrantReply::Denied(Millis::ZERO)
+}
+
+/// Tells the granting entries of limits that targets have named or lifted; never returns.
+pub async fn report_limits<P: Protocol>(state: Rc<State<P>>) {
+    loop {
+        state.limit_changed.notified().await;
+        let changes = std::mem::take(&mut *state.limit_changes.borrow_mut());
+        let reports = changes.into_iter().map(async |(target, limit)| {
+            let word = LimitWord {
+                limit,
+                age: Millis::ZERO,
+            };
+            match granting_entry(&state, &target.id) {
+                GrantingEntry::Own => {
+                    let mut grantor = state.grantor.borrow_mut();
+                    grantor.report(&target, word, state.now());
+                }
+                GrantingEntry::Other(contact) => {
+                    let request = GrantRequest {
+                        key: contact.key.clone(),
+                        target,
+                        word,
+                        is_asking: false,
+                    };
+                    let reported: Result<GrantReply, _> =
+                        peer_call::call(&state, contact.addr, GRANT_PATH, &request, GRANT_TIMEOUT)
+                            .await;
+                    if let Err(error) = reported {
+                        // The next request to the target reports it again.
+                        spdlog::debug!("limit_not_reported", kv: {
+                            target = request.target.id.as_str(),
+                            error = error.to_string(),
+                        });
+                    }
+                }
+                GrantingEntry::Unreachable | GrantingEntry::Unknown => {}
+            }
+        });
+        join_all(reports).await;
+    }
+}
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -67,7 +67,10 @@
         let mut peers = state.peers.borrow_mut();
         let before = peers.running();
         let crashes = peers.observe(heartbeats, state.now());
-        state.learn(News { crashes });
+        state.learn(News {
+            crashes,
+            ..News::default()
+        });
         let incarnations = peers.incarnations(state.now());
         state
             .allocations
--- a/crates/gateway/src/control/news.rs
+++ b/crates/gateway/src/control/news.rs
@@ -14,7 +14,7 @@
 use super::peer_call::{self, NEWS_PATH};
 use crate::{
     call::{PartId, PromptPart},
-    member::{Incarnation, TargetState},
+    member::{TargetIncarnation, TargetState},
     news::{BATCH_TIME, Digest, FANOUT, INTERVAL, News, NewsMessage, NewsReply, select},
     peers::Contact,
     port::Protocol,
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone)]
 pub struct BrokenAnswer {
     /// The target.
-    pub target: Incarnation,
+    pub target: TargetIncarnation,
     /// Shared parts of the prompt if the answer had hardly begun; otherwise empty.
     pub suspects: Vec<PromptPart>,
     /// Shared parts of the prompt if the answer is complete unless the target has crashed.
@@ -104,6 +104,7 @@
         return false;
     };
     let has_news = !reply.news.is_empty();
+    state.apply_limits(&reply.news, state.now());
     let unknown = state.knowledge.borrow_mut().accept(reply, state.now());
     if has_news {
         state.news_added.notify_one();
@@ -142,6 +143,7 @@
 pub fn handle_news<P>(state: &State<P>, message: NewsMessage) -> NewsReply {
     let now = state.now();
     let has_news = !message.news.is_empty();
+    state.apply_limits(&message.news, now);
     let mut knowledge = state.knowledge.borrow_mut();
     let reply = knowledge.answer(message.news, message.digest.as_ref(), now);
     drop(knowledge);
@@ -157,7 +159,7 @@
         state.answer_broken.notified().await;
         sleep(GATHER_TIME.duration()).await;
         let broken = std::mem::take(&mut *state.broken_answers.borrow_mut());
-        let mut by_target: BTreeMap<Incarnation, Vec<BrokenAnswer>> = BTreeMap::new();
+        let mut by_target: BTreeMap<TargetIncarnation, Vec<BrokenAnswer>> = BTreeMap::new();
         for answer in broken {
             let answers = by_target.entry(answer.target.clone());
             answers.or_default().push(answer);
@@ -180,7 +182,7 @@
 
 async fn check_target<P: Protocol>(
     state: Rc<State<P>>,
-    target: Incarnation,
+    target: TargetIncarnation,
     answers: Vec<BrokenAnswer>,
 ) {
     let is_known = state.knowledge.borrow().crashes.knows(&target);
@@ -199,7 +201,7 @@
     }
 }
 
-fn record_crash<P>(state: &State<P>, target: &Incarnation, answers: &[BrokenAnswer]) {
+fn record_crash<P>(state: &State<P>, target: &TargetIncarnation, answers: &[BrokenAnswer]) {
     let now = state.now();
     let mut knowledge = state.knowledge.borrow_mut();
     let is_new = !knowledge.crashes.knows(target);
@@ -221,7 +223,7 @@
 
 /// Connects to a target. Only a target that still accepts requests is checked: one that leaves ends
 /// without a crash.
-async fn liveness<P>(state: &State<P>, target: &Incarnation) -> Liveness {
+async fn liveness<P>(state: &State<P>, target: &TargetIncarnation) -> Liveness {
     let pool = {
         let fleet = state.fleet.borrow();
         let known = fleet.get(&target.id).filter(|known| {
--- a/crates/gateway/src/control/peer_call.rs
+++ b/crates/gateway/src/control/peer_call.rs
@@ -11,9 +11,10 @@
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
-use super::{loans, news};
+use super::{grants, loans, news};
 use crate::{
     conn::Pool,
+    limit::GrantRequest,
     news::NewsMessage,
     prepaid::{LoanRequest, TokenReturn},
     state::State,
@@ -25,6 +26,8 @@
 pub const LOAN_PATH: &str = "/loan";
 /// Path of token returns.
 pub const RETURN_PATH: &str = "/give-back";
+/// Path of requests for grants.
+pub const GRANT_PATH: &str = "/grant";
 /// Path of news.
 pub const NEWS_PATH: &str = "/news";
 
@@ -132,6 +135,10 @@
             }
             Err(error) => refusal(&path, &error),
         },
+        GRANT_PATH => match read(state, &body, |request: &GrantRequest| &request.key) {
+            Ok(request) => reply(&grants::handle_grant(state, &request)),
+            Err(error) => refusal(&path, &error),
+        },
         NEWS_PATH => match read(state, &body, |message: &NewsMessage| &message.key) {
             Ok(message) => reply(&news::handle_news(state, message)),
             Err(error) => refusal(&path, &error),
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     call::{PartId, PromptPart},
-    member::Incarnation,
+    member::TargetIncarnation,
 };
 
 /// Crashes that must have a suspect in common before it is refused.
@@ -51,7 +51,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// The target that ended.
-    pub target: Incarnation,
+    pub target: TargetIncarnation,
     /// Time since the crash.
     pub age: Millis,
     /// Time since the crash, or since a request was refused because of it.
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashTime {
     /// The target that ended.
-    pub target: Incarnation,
+    pub target: TargetIncarnation,
     /// As in [`CrashReport::age`].
     pub age: Millis,
     /// As in [`CrashReport::idle`].
@@ -174,18 +174,18 @@
 /// The crashes that an entry knows of, and the parts that it refuses because of them.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
-    crashes: BTreeMap<Incarnation, Crash>,
+    crashes: BTreeMap<TargetIncarnation, Crash>,
     /// Derived from `crashes`.
     refused: Vec<RefusedPart>,
     /// Crashes whose reports have changed since [`CrashEvidence::take_news`].
-    changed: BTreeSet<Incarnation>,
+    changed: BTreeSet<TargetIncarnation>,
     /// When a request of a refused part was last let through. Invariant: only refused parts.
     probed_at: BTreeMap<PartId, Instant>,
 }
 
 impl CrashEvidence {
     /// Returns true if the crash is known.
-    pub fn knows(&self, target: &Incarnation) -> bool {
+    pub fn knows(&self, target: &TargetIncarnation) -> bool {
         self.crashes.contains_key(target)
     }
 
@@ -195,7 +195,7 @@
     }
 
     /// Records the crash of a target that was working on `parts`, the shared parts of one prompt.
-    pub fn record(&mut self, target: &Incarnation, parts: &[PromptPart], now: Millis) {
+    pub fn record(&mut self, target: &TargetIncarnation, parts: &[PromptPart], now: Millis) {
         let suspects = parts.iter().enumerate().map(|(depth, part)| SuspectReport {
             part: part.id,
             depth: depth.min(usize::from(u8::MAX)) as u8,
@@ -268,7 +268,7 @@
     /// When the known crashes happened.
     pub fn times(&self, now: Millis) -> Vec<CrashTime> {
         let crashes = self.crashes.iter();
-        let time = |(target, crash): (&Incarnation, &Crash)| CrashTime {
+        let time = |(target, crash): (&TargetIncarnation, &Crash)| CrashTime {
             target: target.clone(),
             age: crash.at.age(now),
             idle: crash.used_at.age(now),
@@ -425,7 +425,7 @@
     }
 }
 
-fn report(target: &Incarnation, crash: &Crash, now: Millis) -> CrashReport {
+fn report(target: &TargetIncarnation, crash: &Crash, now: Millis) -> CrashReport {
     let suspects = crash.suspects.iter();
     let suspects = suspects.map(|(part, suspicion)| SuspectReport {
         part: *part,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -103,6 +103,7 @@
         tokio::task::spawn_local(control::run_token_returns(state.clone()));
         tokio::task::spawn_local(control::spread_news(state.clone()));
         tokio::task::spawn_local(control::compare_news(state.clone()));
+        tokio::task::spawn_local(control::report_limits(state.clone()));
     }
     spdlog::info!("started", kv: {
         vm = settings.vm.as_str(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,7 +7,7 @@
 };
 
 use cyc_route::{Availability, Failure, Health, health};
-use cyc_types::{AvailabilityZone, Millis, ServiceId, TargetId, VmId, hash};
+use cyc_types::{AvailabilityZone, Millis, PerSecond, ServiceId, TargetId, VmId, hash};
 use rand::{SeedableRng as _, rngs::StdRng};
 
 use crate::{
@@ -17,7 +17,9 @@
     conn::Pool,
     decay::DecayingSum,
     group::ServiceTargets,
-    member::{Record, TargetState},
+    limit::TargetLimit,
+    member::{Record, TargetIncarnation, TargetState},
+    port::StatedLimit,
 };
 
 /// Consecutive failures that eject a target.
@@ -116,6 +118,9 @@
     pending_tokens: u64,
     prefill: Prefill,
     load: Option<(Load, Millis)>,
+    limit: Option<TargetLimit>,
+    /// When the target last answered without a limit.
+    unlimited_at: Millis,
     slowness: f64,
     slowness_at: Millis,
     cached: HashMap<PartId, Millis>,
@@ -137,6 +142,8 @@
             pending_tokens: 0,
             prefill: Prefill::default(),
             load: None,
+            limit: None,
+            unlimited_at: Millis::ZERO,
             slowness: 1.0,
             slowness_at: now,
             cached: HashMap::new(),
@@ -219,6 +226,8 @@
     pub tried: &'a [TargetId],
     /// The request may be sent again if the target fails it, so that it can probe an ejected one.
     pub may_probe: bool,
+    /// The request may be sent to a target that names a limit, if it is granted.
+    pub may_ask: bool,
 }
 
 /// How an attempt ended, for the health of the target.
@@ -368,8 +377,12 @@
         let service = self.services.get(required.service)?;
         let considered = service.consider(prompt, preferred, &mut self.rng, |id| {
             let target = self.targets.get(id)?;
-            let is_usable =
-                !required.tried.contains(id) && target.pool.has_room(required.connections);
+            let is_open = target
+                .limit
+                .is_none_or(|limit| required.may_ask && limit.wait(now).is_zero());
+            let is_usable = is_open
+                && !required.tried.contains(id)
+                && target.pool.has_room(required.connections);
             is_usable.then(|| target.health.availability(now))
         });
         if required.may_probe
@@ -460,6 +473,79 @@
         }
     }
 
+    /// Stores what a target said about its limit in the response to a request sent at this time.
+    /// Returns what is new: a limit, or `None` for the end of one.
+    pub fn record_limit(
+        &mut self,
+        id: &TargetId,
+        stated: StatedLimit,
+        sent_at: Millis,
+        now: Millis,
+    ) -> Option<(TargetIncarnation, Option<PerSecond>)> {
+        let target = self.targets.get_mut(id)?;
+        match (stated, &mut target.limit) {
+            (StatedLimit::Rate(limit), Some(known)) => {
+                let is_new = known.limit() != limit;
+                known.set(limit, now);
+                is_new.then(|| (target.record.incarnation(), Some(limit)))
+            }
+            (StatedLimit::Rate(limit), None) => {
+                target.limit = Some(TargetLimit::new(limit, now));
+                Some((target.record.incarnation(), Some(limit)))
+            }
+            // The response may be older than the limit if it overtook another one.
+            (StatedLimit::Absent, Some(known)) if known.said_at() > sent_at => None,
+            (StatedLimit::Absent, known) => {
+                let was_limited = known.take().is_some();
+                target.unlimited_at = now;
+                was_limited.then(|| (target.record.incarnation(), None))
+            }
+            (StatedLimit::Invalid, _) => None,
+        }
+    }
+
+    /// Stores a limit that a target named to another entry at this time, unless the target has
+    /// answered this entry since. Returns true if it is new.
+    pub fn learn_limit(
+        &mut self,
+        target: &TargetIncarnation,
+        limit: PerSecond,
+        said_at: Millis,
+    ) -> bool {
+        let Some(known) = self.targets.get_mut(&target.id) else {
+            return false;
+        };
+        let is_same_run = known.record.incarnation() == *target;
+        if !is_same_run || known.limit.is_some() || known.unlimited_at >= said_at {
+            return false;
+        }
+        known.limit = Some(TargetLimit::new(limit, said_at));
+        true
+    }
+
+    /// The limit of a target, if it names one.
+    pub fn limit_mut(&mut self, id: &TargetId) -> Option<&mut TargetLimit> {
+        self.targets.get_mut(id)?.limit.as_mut()
+    }
+
+    /// Records that a target names no limit any more.
+    pub fn remove_limit(&mut self, id: &TargetId, now: Millis) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.limit = None;
+            target.unlimited_at = now;
+        }
+    }
+
+    /// Time until a request may be sent to one of the limited targets of a service; `None` if none
+    /// of its targets names a limit.
+    pub fn limit_wait(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
+        let targets = self.targets.values();
+        let of_service = targets.filter(|target| target.record.service == *service);
+        of_service
+            .filter_map(|target| Some(target.limit?.wait(now)))
+            .min()
+    }
+
     /// Records the end of an attempt; `pending_tokens` is what the target has not prefilled.
     /// Returns true if this ejected the target.
     pub fn end_attempt(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod event;
 pub mod fleet;
 pub mod group;
+pub mod limit;
 pub mod member;
 pub mod news;
 pub mod peers;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -49,7 +49,7 @@
 
 /// One run of a target, from its start to its end.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Incarnation {
+pub struct TargetIncarnation {
     /// The target.
     pub id: TargetId,
     /// Its start, as in [`Record::started_at`].
@@ -58,8 +58,8 @@
 
 impl Record {
     /// The run of the target that registered.
-    pub fn incarnation(&self) -> Incarnation {
-        Incarnation {
+    pub fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
             id: self.id.clone(),
             started_at: self.started_at,
         }
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -5,12 +5,17 @@
 //! one other entry every [`INTERVAL`], which reaches those that were cut off, frozen or not yet
 //! started. Everything that is exchanged can be merged in any order and any number of times.
 
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+
 use cyc_types::{Millis, VmId};
 use rand::{Rng, seq::IndexedRandom as _};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::crash::{CrashEvidence, CrashReport, CrashTime};
+use crate::{
+    crash::{CrashEvidence, CrashReport, CrashTime},
+    limit::{KnownLimits, LimitReport},
+};
 
 /// Entries that are told news at once.
 pub const FANOUT: usize = 4;
@@ -20,17 +25,20 @@
 pub const BATCH_TIME: Millis = Millis::new(20);
 
 /// Something that entries tell each other.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// Crashes of targets.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
+    /// Limits that targets name.
+    #[serde(default)]
+    pub limits: Vec<LimitReport>,
 }
 
 impl News {
     /// Returns true if there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty()
+        self.crashes.is_empty() && self.limits.is_empty()
     }
 }
 
@@ -58,7 +66,7 @@
 }
 
 /// The reply to a message.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct NewsReply {
     /// Everything that the receiver knows, if the sender knows something else.
     pub news: News,
@@ -71,18 +79,22 @@
 pub struct Knowledge {
     /// Crashes of targets, and the prompt parts refused because of them.
     pub crashes: CrashEvidence,
+    /// Limits that targets name.
+    pub limits: KnownLimits,
 }
 
 impl Knowledge {
     /// Adds news of another entry.
     pub fn merge(&mut self, news: News, now: Millis) {
         self.crashes.merge(news.crashes, now);
+        self.limits.merge(&news.limits, now);
     }
 
     /// News since the last call, for other entries.
     pub fn take_news(&mut self, now: Millis) -> News {
         News {
             crashes: self.crashes.take_news(now),
+            limits: self.limits.take_news(now),
         }
     }
 
@@ -90,13 +102,14 @@
     pub fn all(&self, now: Millis) -> News {
         News {
             crashes: self.crashes.reports(now),
+            limits: self.limits.reports(now),
         }
     }
 
     /// What is known, in short.
     pub fn digest(&self, now: Millis) -> Digest {
         Digest {
-            fingerprint: self.crashes.fingerprint(),
+            fingerprint: self.fingerprint(),
             crash_times: self.crashes.times(now),
         }
     }
@@ -120,14 +133,24 @@
     pub fn accept(&mut self, reply: NewsReply, now: Millis) -> News {
         self.merge(reply.news, now);
         self.crashes.merge_times(&reply.digest.crash_times, now);
-        match reply.digest.fingerprint == self.crashes.fingerprint() {
+        match reply.digest.fingerprint == self.fingerprint() {
             true => News::default(),
             false => self.all(now),
         }
     }
 
-    /// Forgets what is out of date. Returns true if there was any.
+    fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.crashes.fingerprint().hash(&mut hasher);
+        for (target, limit) in self.limits.iter() {
+            (target, limit.get().to_bits()).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// Forgets what is out of date. Returns true if there was any crash.
     pub fn expire(&mut self, now: Millis) -> bool {
+        self.limits.expire(now);
         self.crashes.expire(now)
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -31,7 +31,7 @@
 pub struct Heartbeat {
     /// The entry.
     pub vm: VmId,
-    /// Incarnation of the entry.
+    /// TargetIncarnation of the entry.
     pub start: u64,
     /// Sequence number; increases within an incarnation.
     pub beat: u64,
@@ -83,6 +83,8 @@
     known: BTreeMap<VmId, KnownPeer>,
     /// When heartbeats were last read.
     read_at: Option<Millis>,
+    /// When the entries that may own accounts last changed.
+    changed_at: Millis,
     /// The other entries have had time to read this entry's heartbeat.
     is_announced: bool,
 }
@@ -102,6 +104,7 @@
             },
             known: BTreeMap::new(),
             read_at: None,
+            changed_at: Millis::ZERO,
             is_announced: false,
         }
     }
@@ -137,6 +140,7 @@
     /// that ended long ago.
     pub fn observe(&mut self, heartbeats: Vec<Heartbeat>, now: Millis) -> Vec<CrashReport> {
         let mut crashes = Vec::new();
+        let before: Vec<VmId> = self.eligible_owners().cloned().collect();
         // The list contains this entry's own heartbeat if the entry has run before or has written
         // one since. Its key is kept, because entries that cannot reach the store know no other.
         if let Some(own) = heartbeats
@@ -172,6 +176,9 @@
             }
         }
         self.read_at = Some(now);
+        if !self.eligible_owners().eq(before.iter()) {
+            self.changed_at = now;
+        }
         crashes
     }
 
@@ -250,6 +257,11 @@
         self.is_assigned(account_key(account))
     }
 
+    /// When the entries that look after something last changed, as far as this entry knows.
+    pub fn changed_at(&self) -> Millis {
+        self.changed_at
+    }
+
     /// Returns true if this entry is the one that looks after what has this hash.
     pub fn is_assigned(&self, key: u64) -> bool {
         self.is_announced && self.assigned(key) == Some(&self.heartbeat.vm)
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -1,6 +1,6 @@
 //! Traits that abstract the protocol of callers and targets, and the store.
 
-use cyc_types::{ClientAccountId, Millis, TargetId, Version, VmId};
+use cyc_types::{ClientAccountId, Millis, PerSecond, TargetId, Version, VmId};
 use http::{HeaderMap, request, response};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -38,8 +38,20 @@
     pub resume_after: Option<u64>,
 }
 
+/// What a response says about a limit of requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedLimit {
+    /// The target names no limit.
+    #[default]
+    Absent,
+    /// The limit cannot be read.
+    Invalid,
+    /// The limit.
+    Rate(PerSecond),
+}
+
 /// Decoded fields of the head of a target's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the attempt that the response belongs to.
     pub id: Option<SmolStr>,
@@ -51,6 +63,8 @@
     pub is_misdirected: bool,
     /// Reported load of the target.
     pub load: Option<Load>,
+    /// Limit of requests a second that the target names for all entries together.
+    pub limit: StatedLimit,
     /// How long the target keeps an idle connection open.
     pub keep_alive: Option<Millis>,
 }
--- a/crates/gateway/src/prepaid.rs
+++ b/crates/gateway/src/prepaid.rs
@@ -26,7 +26,7 @@
 /// What one entry last wrote about itself to a record.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
-    /// Incarnation of the entry.
+    /// TargetIncarnation of the entry.
     pub start: u64,
     /// Sequence number of the last write of this incarnation.
     pub writes: u64,
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -16,7 +16,7 @@
     choose::Choice,
     config::{RouteKind, Service},
     conn::{Conn, Pool},
-    control::BrokenAnswer,
+    control::{self, BrokenAnswer},
     crash::SOUND_AFTER,
     fleet::{FinishedPrefill, Requirements, Verdict},
     port::{Protocol, ResponseInfo, TargetRequestInfo},
@@ -31,6 +31,8 @@
 /// Part of a target's connections that entries use: the number of entries is known with a delay,
 /// and a target accepts fewer connections while many requests are queued there.
 const CONNECTIONS_PERCENT: u64 = 90;
+/// A request that was denied by this many limited targets is sent to targets without a limit only.
+const MAX_DENIALS: u32 = 3;
 /// Prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 /// With less time left than this, a target could not respond before the deadline.
@@ -299,6 +301,7 @@
         resume_after: Option<u64>,
     ) -> Result<TargetResponse<P>, Refusal> {
         let mut connects = 0;
+        let mut denials = 0;
         loop {
             if self.request.time_left() < MIN_TIME_LEFT {
                 return Err(self.deadline_refusal());
@@ -306,10 +309,14 @@
             if self.has_refused_part() {
                 return Err(self.prompt_refusal());
             }
-            let chosen = self.choose();
+            let chosen = self.choose(denials < MAX_DENIALS);
             let Some((target, choice)) = chosen else {
-                return Err(self.failure_refusal("no target of the service can take it"));
+                return Err(self.no_target_refusal());
             };
+            if !control::acquire_grant(&self.state, &target).await {
+                denials += 1;
+                continue;
+            }
             self.estimate = choice.estimate;
             let error = match self.send(&target, &choice, resume_after).await {
                 Ok(response) => return Ok(response),
@@ -363,7 +370,22 @@
         self.request.is_probe && self.sends == 0
     }
 
-    fn choose(&self) -> Option<(TargetId, Choice)> {
+    fn no_target_refusal(&self) -> Refusal {
+        let refusal = self.failure_refusal("no target of the service can take it");
+        let wait = self
+            .state
+            .fleet
+            .borrow()
+            .limit_wait(&self.service, self.state.now());
+        match wait {
+            Some(wait) if !self.may_have_run => {
+                refusal.with_retry_after(retry_after(wait.max(RETRY_AFTER_TARGET)))
+            }
+            _ => refusal,
+        }
+    }
+
+    fn choose(&self, may_ask: bool) -> Option<(TargetId, Choice)> {
         let prompt = self.request.call.prompt.as_ref();
         let entries = self.state.entries();
         let mut fleet = self.state.fleet.borrow_mut();
@@ -374,6 +396,7 @@
             connections: connection_limit(service, entries),
             tried: &self.tried,
             may_probe: true,
+            may_ask,
         };
         fleet.choose(&required, prompt, self.state.now())
     }
@@ -559,6 +582,10 @@
             fleet.record_load(&attempt.target, load, self.state.now());
         }
         let is_own = info.id.as_ref() == Some(&self.request.call.id);
+        if is_own && !info.is_misdirected {
+            self.state
+                .record_limit(&attempt.target, info.limit, attempt.sent_at);
+        }
         if info.is_misdirected {
             attempt.end(Verdict::NotReached);
             return Err(AttemptError::NotRun(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,12 +2,17 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
 };
 
 use cyc_obs::Metrics;
-use cyc_types::{ClientAccountId, Clock, Millis, VmId};
-use tokio::sync::{Notify, watch};
+use cyc_types::{ClientAccountId, Clock, Millis, PerSecond, TargetId, VmId};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
 
 use crate::{
     call::PromptPart,
@@ -16,16 +21,25 @@
     control::{BrokenAnswer, LoanFailures, PeerConnections},
     daemon::Settings,
     fleet::Fleet,
-    member::TargetList,
+    limit::Grantor,
+    member::{TargetIncarnation, TargetList},
     news::{Knowledge, News},
     peers::Peers,
-    port::StoreError,
+    port::{StatedLimit, StoreError},
     prepaid::{Allocations, Role},
     retry_budget::RetryBudget,
     shutdown::Shutdown,
     store_health::StoreHealth,
 };
 
+fn log_limit(target: &TargetIncarnation, limit: Option<PerSecond>, source: &str) {
+    spdlog::info!("target_limit_changed", kv: {
+        target = target.id.as_str(),
+        limit = limit.map_or_else(|| "none".into(), |limit| limit.get().to_string()),
+        source = source,
+    });
+}
+
 /// The state of one entry.
 pub struct State<P> {
     /// VM of this entry.
@@ -56,6 +70,14 @@
     pub news_added: Notify,
     /// No other entry answered lately, though some run.
     pub is_isolated: Cell<bool>,
+    /// Grants of requests to the limited targets that this entry looks after.
+    pub grantor: RefCell<Grantor>,
+    /// Granting entries that did not answer, and until when they are not asked.
+    pub unresponsive_grantors: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Limits that targets have named or lifted and that the granting entries are to be told.
+    pub limit_changes: RefCell<Vec<(TargetIncarnation, Option<PerSecond>)>>,
+    /// Notified when a limit changes.
+    pub limit_changed: Notify,
     /// Broken answers whose targets may have crashed.
     pub broken_answers: RefCell<Vec<BrokenAnswer>>,
     /// Notified when a broken answer is added.
@@ -103,6 +125,10 @@
             knowledge: RefCell::default(),
             news_added: Notify::new(),
             is_isolated: Cell::new(false),
+            grantor: RefCell::default(),
+            unresponsive_grantors: RefCell::default(),
+            limit_changes: RefCell::default(),
+            limit_changed: Notify::new(),
             broken_answers: RefCell::default(),
             answer_broken: Notify::new(),
             allocations: RefCell::new(Allocations::new(settings.vm.clone(), incarnation)),
@@ -162,8 +188,50 @@
         if news.is_empty() {
             return;
         }
-        self.knowledge.borrow_mut().merge(news, self.now());
+        let now = self.now();
+        self.apply_limits(&news, now);
+        self.knowledge.borrow_mut().merge(news, now);
+        self.news_added.notify_one();
+    }
+
+    /// Applies limits that targets named to other entries.
+    pub fn apply_limits(&self, news: &News, now: Millis) {
+        let mut fleet = self.fleet.borrow_mut();
+        for report in &news.limits {
+            let said_at = now.saturating_sub(report.age);
+            if fleet.learn_limit(&report.target, report.limit, said_at) {
+                log_limit(&report.target, Some(report.limit), "entry");
+            }
+        }
+    }
+
+    /// Records what a target said about its limit in the response to a request sent at this time.
+    pub fn record_limit(&self, target: &TargetId, stated: StatedLimit, sent_at: Millis) {
+        let now = self.now();
+        let changed = self
+            .fleet
+            .borrow_mut()
+            .record_limit(target, stated, sent_at, now);
+        if let StatedLimit::Rate(limit) = stated {
+            let fleet = self.fleet.borrow();
+            let known = fleet.get(target).map(|target| target.record.incarnation());
+            if let Some(target) = known {
+                self.knowledge
+                    .borrow_mut()
+                    .limits
+                    .record(&target, limit, now);
+            }
+        }
+        let Some((target, limit)) = changed else {
+            return;
+        };
+        log_limit(&target, limit, "target");
+        if limit.is_none() {
+            self.knowledge.borrow_mut().limits.remove(&target);
+        }
         self.news_added.notify_one();
+        self.limit_changes.borrow_mut().push((target, limit));
+        self.limit_changed.notify_one();
     }
 
     /// Records that a prompt with these shared parts was answered.
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod fleet;
 #[path = "gateway/group.rs"]
 mod group;
+#[path = "gateway/limit.rs"]
+mod limit;
 #[path = "gateway/loan.rs"]
 mod loan;
 #[path = "gateway/member.rs"]
--- a/crates/gateway/tests/gateway/crash.rs
+++ b/crates/gateway/tests/gateway/crash.rs
@@ -6,7 +6,7 @@
         Admission, COINCIDENCE, CRASH_TTL, CRASHES_TO_REFUSE, CrashEvidence, CrashReport,
         PROBE_INTERVAL, SuspectReport,
     },
-    member::Incarnation,
+    member::TargetIncarnation,
 };
 use cyc_types::{Millis, Tokens};
 use googletest::prelude::*;
@@ -15,8 +15,8 @@
 const BAD: u64 = 2;
 const OWN: u64 = 100;
 
-pub fn target(index: usize) -> Incarnation {
-    Incarnation {
+pub fn target(index: usize) -> TargetIncarnation {
+    TargetIncarnation {
         id: format!("i-{index}").parse().unwrap(),
         started_at: Some(1),
     }
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -31,6 +31,7 @@
         connections: 8,
         tried,
         may_probe: true,
+        may_ask: true,
     }
 }
 
--- a/crates/gateway/tests/gateway/group.rs
+++ b/crates/gateway/tests/gateway/group.rs
@@ -157,6 +157,7 @@
             connections: 8,
             tried: &[],
             may_probe: true,
+            may_ask: true,
         };
         let start = self.now;
         for number in 0..per_s * seconds {
@@ -305,6 +306,7 @@
             connections: 8,
             tried: &[],
             may_probe: true,
+            may_ask: true,
         };
         let prompt = long_prompt(prefix, 1);
         fleet
@@ -337,6 +339,7 @@
         connections: 8,
         tried: &tried,
         may_probe: true,
+        may_ask: true,
     };
     for prompt in [None, Some(long_prompt(3, 4))] {
         let chosen = fleet.choose(&required, prompt.as_ref(), Millis::ZERO);
@@ -355,6 +358,7 @@
             connections: 100,
             tried: &[],
             may_probe: true,
+            may_ask: true,
         };
         let mut fleets: Vec<Fleet> = (0..20).map(|entry| fleet(entry, 20, &records)).collect();
         for prefix in 10..100 {
@@ -381,6 +385,7 @@
         connections: 100,
         tried: &[],
         may_probe: true,
+        may_ask: true,
     };
     let mut used = BTreeSet::new();
     for number in 0..30 {
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -181,6 +181,7 @@
                     connections: u32::MAX,
                     tried: &tried,
                     may_probe: true,
+                    may_ask: true,
                 };
                 let (id, choice) = self.fleet.choose(&required, prompt, now)?;
                 let index = self.targets.iter().position(|view| view.id == id)?;
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cyc_gateway::{member::Incarnation, peers::Heartbeat};
+use cyc_gateway::{member::TargetIncarnation, peers::Heartbeat};
 use cyc_types::{Millis, VmId};
 
 /// An entry whose heartbeat did not arrive for this long uses another path.
@@ -33,7 +33,7 @@
         let vm = heartbeat.vm.clone();
         let identity = |heartbeat: &Heartbeat| {
             let targets = heartbeat.crashes.iter().map(|crash| crash.target.clone());
-            let targets: Vec<Incarnation> = targets.collect();
+            let targets: Vec<TargetIncarnation> = targets.collect();
             (heartbeat.start, heartbeat.is_leaving, targets)
         };
         let new = identity(&heartbeat);
