--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -1,5 +1,6 @@
 //! Heartbeats of entries, and the ownership of accounts derived from them.
 
+use cyc_gateway::crash::CrashReport;
 use cyc_gateway::peers::{HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, Heartbeat, LOST_AFTER, Peers};
 use cyc_types::{ClientAccountId, Millis, VmId};
 use googletest::prelude::*;
@@ -148,3 +149,25 @@
     expect_false!(all[0].owner_candidates(&account).contains(&vm(1)));
     expect_that!(all[0].running(), eq(3));
 }
+
+/// Guards against prompts refused for ever because of heartbeats that entries left in the store when
+/// they ended: their crashes look new to each entry that starts.
+#[gtest]
+fn crashes_of_a_heartbeat_count_once_it_was_seen_to_change() {
+    let crash = CrashReport {
+        target: crate::crash::target(1),
+        age: Millis::ZERO,
+        idle: Millis::ZERO,
+        suspects: Vec::new(),
+    };
+    let mut all = entries(2);
+    let mut other = all.remove(1);
+    other.set_crashes(vec![crash.clone()]);
+    let heartbeat = other.next_heartbeat();
+    let observed = all[0].observe(vec![heartbeat.clone()], Millis::ZERO);
+    expect_that!(observed, is_empty());
+    let observed = all[0].observe(vec![heartbeat], Millis::new(2_000));
+    expect_that!(observed, is_empty());
+    let observed = all[0].observe(vec![other.next_heartbeat()], Millis::new(4_000));
+    expect_that!(observed, elements_are![eq(&crash)]);
+}
--- a/crates/relay/tests/relay/roster.rs
+++ b/crates/relay/tests/relay/roster.rs
@@ -1,6 +1,10 @@
 //! Heartbeats of the entries that use a relay.
 
-use cyc_gateway::peers::{Heartbeat, Peers};
+use cyc_gateway::{
+    crash::CrashReport,
+    member::TargetIncarnation,
+    peers::{Heartbeat, Peers},
+};
 use cyc_relay::roster::Roster;
 use cyc_types::Millis;
 use googletest::prelude::*;
@@ -61,3 +65,30 @@
     let expected = expected.map(|(vm, start)| (vm.to_string(), start));
     expect_that!(starts(&roster.all()), eq(&expected.to_vec()));
 }
+
+/// Guards against an object that outgrows the store because each of hundreds of entries tells of the
+/// same crashes, and against entries that learn late that prompts are refused.
+#[gtest]
+fn crashes_are_urgent_and_kept_for_a_few_members_only() {
+    let crash = CrashReport {
+        target: TargetIncarnation {
+            id: "i-1".parse().unwrap(),
+            started_at: Some(1),
+        },
+        age: at(10),
+        idle: at(10),
+        suspects: Vec::new(),
+    };
+    let mut roster = Roster::default();
+    for index in 0..300 {
+        let mut entry = entry(index, 1);
+        roster.record(entry.next_heartbeat(), at(0));
+        entry.set_crashes(vec![crash.clone()]);
+        expect_true!(roster.record(entry.next_heartbeat(), at(10)));
+        expect_false!(roster.record(entry.next_heartbeat(), at(20)));
+    }
+    let members = roster.members(at(20));
+    expect_that!(members, len(eq(300)));
+    let telling = members.iter().filter(|member| !member.crashes.is_empty());
+    expect_that!(telling.count(), all!(ge(1), le(5)));
+}
