gateway: a crash that one entry finds ejects the target at all

Reports of crashes now eject the target at the entries that they reach, if they are younger than 5 s and of the same run; a probe readmits it as before.

--- a/crates/gateway/src/control/news.rs
+++ b/crates/gateway/src/control/news.rs
@@ -104,7 +104,7 @@
         return false;
     };
     let has_news = !reply.news.is_empty();
-    state.apply_limits(&reply.news, state.now());
+    state.apply_news(&reply.news, state.now());
     let unknown = state.knowledge.borrow_mut().accept(reply, state.now());
     if has_news {
         state.news_added.notify_one();
@@ -143,7 +143,7 @@
 pub fn handle_news<P>(state: &State<P>, message: NewsMessage) -> NewsReply {
     let now = state.now();
     let has_news = !message.news.is_empty();
-    state.apply_limits(&message.news, now);
+    state.apply_news(&message.news, now);
     let mut knowledge = state.knowledge.borrow_mut();
     let reply = knowledge.answer(message.news, message.digest.as_ref(), now);
     drop(knowledge);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -28,6 +28,9 @@
 const PROBE_MIN: Millis = Millis::new(700);
 /// Maximum time between probe requests.
 const PROBE_MAX: Millis = Millis::new(4_000);
+/// A crash that another entry reports later than this says nothing about the target: its
+/// registration has ended, or it answered in the meantime.
+const REPORTED_CRASH_TTL: Millis = Millis::new(5_000);
 /// How long prompt parts sent to a target are assumed to be cached there.
 const CACHED_PART_TTL: Millis = Millis::new(15_000);
 /// Maximum prompt parts tracked per target; further ones are ignored until others expire.
@@ -473,6 +476,21 @@
         }
     }
 
+    /// Ejects a target that another entry found crashed this long ago. Returns true if it was in use.
+    pub fn learn_crash(&mut self, target: &TargetIncarnation, age: Millis, now: Millis) -> bool {
+        let Some(known) = self.targets.get_mut(&target.id) else {
+            return false;
+        };
+        let is_same_run = known.record.incarnation() == *target;
+        let was_available = known.health.availability(now) == Availability::Available;
+        if !is_same_run || !was_available || age >= REPORTED_CRASH_TTL {
+            return false;
+        }
+        known.health.record_failure(Failure::ConnectFailed, now);
+        known.health.record_failure(Failure::ConnectFailed, now);
+        true
+    }
+
     /// Stores what a target said about its limit in the response to a request sent at this time.
     /// Returns what is new: a limit, or `None` for the end of one.
     pub fn record_limit(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -189,13 +189,14 @@
             return;
         }
         let now = self.now();
-        self.apply_limits(&news, now);
+        self.apply_news(&news, now);
         self.knowledge.borrow_mut().merge(news, now);
         self.news_added.notify_one();
     }
 
-    /// Applies limits that targets named to other entries.
-    pub fn apply_limits(&self, news: &News, now: Millis) {
+    /// Applies what other entries have learnt to the targets: limits, and crashes that this entry
+    /// does not know yet.
+    pub fn apply_news(&self, news: &News, now: Millis) {
         let mut fleet = self.fleet.borrow_mut();
         for report in &news.limits {
             let said_at = now.saturating_sub(report.age);
@@ -203,6 +204,16 @@
                 log_limit(&report.target, Some(report.limit), "entry");
             }
         }
+        let knowledge = self.knowledge.borrow();
+        for report in &news.crashes {
+            let is_new = !knowledge.crashes.knows(&report.target);
+            if is_new && fleet.learn_crash(&report.target, report.age, now) {
+                spdlog::warn!("target_ejected", kv: {
+                    target = report.target.id.as_str(),
+                    reason = "ReportedCrash",
+                });
+            }
+        }
     }
 
     /// Records what a target said about its limit in the response to a request sent at this time.
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -4,7 +4,7 @@
     call::Prompt,
     choose::Options,
     fleet::{Fleet, Requirements, Verdict},
-    member::{Record, TargetState},
+    member::{Record, TargetIncarnation, TargetState},
 };
 use cyc_types::{Millis, ServiceId, TargetId, Tokens};
 use googletest::prelude::*;
@@ -87,6 +87,32 @@
     expect_that!(chosen(&mut fleet, &[], 2_011), some(eq(&id("i-1"))));
 }
 
+/// Guards against requests that each entry sends to a crashed target until one of its own fails.
+#[gtest]
+fn a_crash_that_another_entry_reports_ejects_the_target() {
+    let records = [
+        record("i-1", TargetState::Ready),
+        record("i-2", TargetState::Ready),
+    ];
+    let mut fleet = fleet(&records);
+    let now = Millis::new(10_000);
+    let run = records[0].incarnation();
+    let other_run = TargetIncarnation {
+        started_at: Some(2),
+        ..run.clone()
+    };
+    let age = Millis::new(50);
+    expect_false!(fleet.learn_crash(&other_run, age, now));
+    expect_false!(fleet.learn_crash(&run, Millis::MINUTE, now));
+    expect_true!(fleet.learn_crash(&run, age, now));
+    expect_false!(fleet.learn_crash(&run, age, now));
+    for _ in 0..5 {
+        expect_that!(chosen(&mut fleet, &[], 10_100), some(eq(&id("i-2"))));
+    }
+    // A probe finds out whether the report was right.
+    expect_that!(chosen(&mut fleet, &[], 12_000), some(eq(&id("i-1"))));
+}
+
 #[gtest]
 fn a_restarted_target_loses_its_previous_state() {
     let mut fleet = fleet(&[record("i-1", TargetState::Ready)]);
