gateway: conversations are not refused when their targets fail one after the other

Change: an answer clears its prompt after 250 ms of events in place of 1 s, since a target that crashes on a part does so when it begins to answer; a part of a prompt that was answered in the last minute takes five crashes in place of three.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -8,7 +8,7 @@
 //! reports refuse the same parts, in whatever order and however often these arrive.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     hash::{DefaultHasher, Hash as _, Hasher as _},
 };
 
@@ -22,10 +22,15 @@
 
 /// Crashes that must have a suspect in common before it is refused.
 pub const CRASHES_TO_REFUSE: usize = 3;
+/// The same for a part with which a prompt was answered lately: it has been sound so far.
+pub const CRASHES_TO_REFUSE_ANSWERED: usize = 5;
 /// Crashes within this time count once: targets that end together have another cause in common.
 pub const COINCIDENCE: Millis = Millis::new(150);
-/// An answer whose events have arrived for this long, or that is complete, clears its prompt.
-pub const SOUND_AFTER: Millis = Millis::SECOND;
+/// An answer whose events have arrived for this long, or that is complete, clears its prompt. A target
+/// that crashes on a part does so when it begins to answer.
+pub const SOUND_AFTER: Millis = Millis::new(250);
+/// A prompt that was answered this long ago or less counts as answered lately.
+const ANSWERED_TTL: Millis = Millis::MINUTE;
 /// A crash is forgotten this long after it happened and after the last request that was refused
 /// because of it.
 pub const CRASH_TTL: Millis = Millis::new(300_000);
@@ -40,6 +45,9 @@
 const MAX_CRASHES: usize = 64;
 /// Maximum suspects of one crash.
 const MAX_SUSPECTS: usize = 128;
+/// Maximum parts of answered prompts that are remembered; further ones are ignored until others
+/// expire.
+const MAX_ANSWERED_PARTS: usize = 8_192;
 /// Maximum suspects in a message to another entry.
 const MAX_REPORTED_SUSPECTS: usize = 800;
 /// Maximum crashes in a heartbeat.
@@ -82,12 +90,16 @@
     /// A prompt with the part was answered after the crash.
     #[serde(default)]
     pub is_cleared: bool,
+    /// A prompt with the part was answered shortly before the crash.
+    #[serde(default)]
+    pub was_answered: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Suspicion {
     depth: u8,
     is_cleared: bool,
+    was_answered: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -116,10 +128,11 @@
         let is_full = self.suspects.len() >= MAX_SUSPECTS;
         match self.suspects.get_mut(&part) {
             Some(known) => {
-                let before = known.is_cleared;
+                let before = (known.is_cleared, known.was_answered);
                 known.is_cleared |= new.is_cleared;
+                known.was_answered |= new.was_answered;
                 known.depth = known.depth.max(new.depth);
-                before != known.is_cleared
+                before != (known.is_cleared, known.was_answered)
             }
             None if is_full => false,
             None => {
@@ -181,6 +194,8 @@
     changed: BTreeSet<TargetIncarnation>,
     /// When a request of a refused part was last let through. Invariant: only refused parts.
     probed_at: BTreeMap<PartId, Instant>,
+    /// When prompts with these parts were last answered to this entry.
+    answered: HashMap<PartId, Millis>,
 }
 
 impl CrashEvidence {
@@ -200,6 +215,7 @@
             part: part.id,
             depth: depth.min(usize::from(u8::MAX)) as u8,
             is_cleared: false,
+            was_answered: false,
         });
         let report = CrashReport {
             target: target.clone(),
@@ -211,7 +227,8 @@
     }
 
     /// Clears the parts of a prompt that was answered. Returns true if one of them was a suspect.
-    pub fn clear(&mut self, parts: &[PromptPart]) -> bool {
+    pub fn clear(&mut self, parts: &[PromptPart], now: Millis) -> bool {
+        self.remember_answered(parts, now);
         let mut is_changed = false;
         for (target, crash) in &mut self.crashes {
             for part in parts {
@@ -249,9 +266,13 @@
             is_changed |= crash.merge_times(report.age, report.idle, now);
             let mut is_grown = is_new;
             for suspect in report.suspects {
+                let answered_at = self.answered.get(&suspect.part);
+                let was_answered =
+                    answered_at.is_some_and(|at| now.saturating_sub(*at) < ANSWERED_TTL);
                 let suspicion = Suspicion {
                     depth: suspect.depth,
                     is_cleared: suspect.is_cleared,
+                    was_answered: suspect.was_answered || was_answered,
                 };
                 is_grown |= crash.add(suspect.part, suspicion);
             }
@@ -389,12 +410,24 @@
         for (target, crash) in &self.crashes {
             target.hash(&mut hasher);
             for (part, suspicion) in &crash.suspects {
-                (part, suspicion.is_cleared).hash(&mut hasher);
+                let flags = (suspicion.is_cleared, suspicion.was_answered);
+                (part, flags).hash(&mut hasher);
             }
         }
         hasher.finish()
     }
 
+    fn remember_answered(&mut self, parts: &[PromptPart], now: Millis) {
+        if self.answered.len() + parts.len() > MAX_ANSWERED_PARTS {
+            self.answered
+                .retain(|_, at| now.saturating_sub(*at) < ANSWERED_TTL);
+        }
+        if self.answered.len() + parts.len() <= MAX_ANSWERED_PARTS {
+            self.answered
+                .extend(parts.iter().map(|part| (part.id, now)));
+        }
+    }
+
     fn refused_part(&self, parts: &[PromptPart]) -> Option<RefusedPart> {
         let mut refused = self.refused.iter();
         refused
@@ -431,6 +464,7 @@
         part: *part,
         depth: suspicion.depth,
         is_cleared: suspicion.is_cleared,
+        was_answered: suspicion.was_answered,
     });
     CrashReport {
         target: target.clone(),
@@ -457,6 +491,17 @@
     crashes: usize,
     last: Instant,
     depth: u8,
+    was_answered: bool,
+}
+
+impl Tally {
+    fn is_enough(&self) -> bool {
+        let needed = match self.was_answered {
+            true => CRASHES_TO_REFUSE_ANSWERED,
+            false => CRASHES_TO_REFUSE,
+        };
+        self.crashes >= needed
+    }
 }
 
 /// Finds the parts that explain most crashes, one after the other: a part is refused only for crashes
@@ -481,22 +526,22 @@
                     crashes: 0,
                     last: crash.at,
                     depth: 0,
+                    was_answered: cleared.contains(part),
                 });
                 if tally.crashes == 0 || crash.at.0.saturating_sub(tally.last.0) >= COINCIDENCE {
                     tally.crashes += 1;
                     tally.last = crash.at;
                 }
                 tally.depth = tally.depth.max(suspicion.depth);
+                tally.was_answered |= suspicion.was_answered;
             }
         }
         // Of two parts that always occur together, the one is refused that fewer prompts have: one
         // that was never answered, or the later one.
-        let best = tallies.into_iter().max_by_key(|(part, tally)| {
-            let was_answered = cleared.contains(part);
-            (tally.crashes, !was_answered, tally.depth, *part)
-        });
-        let Some((part, tally)) = best.filter(|(_, tally)| tally.crashes >= CRASHES_TO_REFUSE)
-        else {
+        let enough = tallies.into_iter().filter(|(_, tally)| tally.is_enough());
+        let best = enough
+            .max_by_key(|(part, tally)| (tally.crashes, !tally.was_answered, tally.depth, *part));
+        let Some((part, tally)) = best else {
             return refused;
         };
         unexplained.retain(|crash| !crash.suspects(part));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -248,7 +248,7 @@
     /// Records that a prompt with these shared parts was answered.
     pub fn clear_prompt(&self, parts: &[PromptPart]) {
         let mut knowledge = self.knowledge.borrow_mut();
-        if knowledge.crashes.clear(parts) {
+        if knowledge.crashes.clear(parts, self.now()) {
             self.news_added.notify_one();
         }
     }
