gateway: a target that ran a prompt and failed has used its input

Cause: since the input is charged with the first event that is relayed, so errors that a target signed (500, 504) and prompts under which their target ended cost nothing; both have been read in. Ruled out: loans and returns (drawn is at the total paid in each record), outputs of broken streams. Change: an error of a target that ran the request is charged as an answer. A prompt that got nothing is charged its input, and gets it back once its targets are seen to run: only the answer was lost then.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -4,6 +4,7 @@
 mod config;
 mod grants;
 mod heartbeats;
+mod liveness;
 mod loans;
 mod news;
 mod peer_call;
@@ -13,8 +14,9 @@
 pub use config::watch_configuration;
 pub use grants::{acquire_grant, report_limits};
 pub use heartbeats::exchange_heartbeats;
+pub use liveness::{BrokenAnswer, UnansweredPrompt, check_targets};
 pub use loans::{LoanFailures, return_surplus, run_loans, run_token_returns};
-pub use news::{BrokenAnswer, check_targets, compare_news, spread_news};
+pub use news::{compare_news, spread_news};
 pub use peer_call::{PeerConnections, handle_peer_call};
 pub use prepaid::{return_prepaid, run_prepaid};
 pub use targets::watch_targets;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cadence::{CountedExt as _, Timed as _};
-use cyc_types::{ClientAccountId, ErrorKind, Millis, Refusal, Tokens};
+use cyc_types::{ClientAccountId, ErrorKind, Millis, Refusal, TargetId, Tokens};
 use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -15,7 +15,9 @@
     answer::{self, ResponseBody},
     call::{Call, PartId, Prompt},
     config::{Account, Configuration, Route},
+    control::UnansweredPrompt,
     crash::Admission,
+    member::TargetIncarnation,
     port::Protocol,
     prepaid::{DRAW_LOOKAHEAD, Reservation, Role, Shortage},
     state::State,
@@ -24,7 +26,7 @@
 
 mod attempt;
 
-pub use attempt::{Attempts, MAX_CONNECTS, RETRY_AFTER_TARGET, TargetResponse};
+pub use attempt::{Attempts, MAX_CONNECTS, RETRY_AFTER_TARGET, TargetResponse, guarantees_not_run};
 
 /// Divisor of the route's latency objective: how long a request may wait for tokens. A quick
 /// refusal serves callers better than a longer wait.
@@ -157,9 +159,18 @@
     is_delivered: bool,
     /// Events relayed to the caller.
     events: u64,
+    /// Targets that broke off the answer.
+    broken: Vec<TargetIncarnation>,
 }
 
 impl<P> Bill<P> {
+    /// Records that a target broke off the answer.
+    pub fn record_broken(&mut self, target: &TargetId) {
+        let fleet = self.state.fleet.borrow();
+        let target = fleet.get(target).map(|target| target.record.incarnation());
+        self.broken.extend(target);
+    }
+
     /// Sets whether the request runs or has run, and returns the previous value.
     pub fn set_has_run(&mut self, has_run: bool) -> bool {
         let before = std::mem::replace(&mut self.has_run, has_run);
@@ -176,7 +187,7 @@
         self.events += 1;
     }
 
-    /// Records that the caller gets a whole answer.
+    /// Records that the caller gets a whole answer of a target that ran the request, also an error.
     pub fn record_answer(&mut self) {
         self.is_delivered = true;
     }
@@ -198,7 +209,13 @@
 
 impl<P> Drop for Bill<P> {
     fn drop(&mut self) {
-        let used = self.used();
+        // A target that has read the prompt and ended has used the input. One that still runs has lost
+        // only the answer; it is asked before the input is charged for good.
+        let is_unanswered = self.has_run && !self.is_delivered && !self.broken.is_empty();
+        let used = match is_unanswered {
+            true => self.input,
+            false => self.used(),
+        };
         self.set_has_run(false);
         let Some(reservation) = &self.reservation else {
             return;
@@ -207,6 +224,15 @@
         let mut allocations = self.state.allocations.borrow_mut();
         allocations.settle(reservation, used, now);
         drop(allocations);
+        if is_unanswered {
+            let unanswered = UnansweredPrompt {
+                account: reservation.account.clone(),
+                input: used.min(reservation.tokens),
+                targets: std::mem::take(&mut self.broken),
+            };
+            self.state.unanswered_prompts.borrow_mut().push(unanswered);
+            self.state.answer_broken.notify_one();
+        }
         self.state.allocations_changed.notify_waiters();
     }
 }
@@ -428,6 +454,7 @@
         has_run: false,
         is_delivered: false,
         events: 0,
+        broken: Vec::new(),
     };
     let payer = request.account.as_ref().zip(prompt);
     let Some((account, prompt)) = payer.filter(|(account, _)| account.prepaid.is_some()) else {
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// The target.
+    pub fn target(&self) -> &TargetId {
+        &self.target
+    }
+
     /// Returns true if events of the answer have arrived.
     pub fn has_events(&self) -> bool {
         self.first_event_at.is_some()
@@ -335,6 +340,7 @@
                 AttemptError::Unknown(reason) => {
                     self.may_have_run = true;
                     self.bill.set_has_run(true);
+                    self.bill.record_broken(&target);
                     if !self.request.route.kind.is_retryable() {
                         return Err(self.failure_refusal(&reason));
                     }
@@ -629,6 +635,6 @@
 
 /// Returns true if the status guarantees that the request has not run. Only a target itself may
 /// send one.
-fn guarantees_not_run(status: StatusCode) -> bool {
+pub fn guarantees_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
     call::PromptPart,
     choose,
     config::Configuration,
-    control::{BrokenAnswer, LoanFailures, PeerConnections},
+    control::{BrokenAnswer, LoanFailures, PeerConnections, UnansweredPrompt},
     daemon::Settings,
     fleet::Fleet,
     limit::Grantor,
@@ -80,7 +80,9 @@
     pub limit_changed: Notify,
     /// Broken answers whose targets may have crashed.
     pub broken_answers: RefCell<Vec<BrokenAnswer>>,
-    /// Notified when a broken answer is added.
+    /// Prompts without any answer, charged until their targets are known to run.
+    pub unanswered_prompts: RefCell<Vec<UnansweredPrompt>>,
+    /// Notified when a broken answer or an unanswered prompt is added.
     pub answer_broken: Notify,
     /// Prepaid tokens allocated to this entry.
     pub allocations: RefCell<Allocations>,
@@ -130,6 +132,7 @@
             limit_changes: RefCell::default(),
             limit_changed: Notify::new(),
             broken_answers: RefCell::default(),
+            unanswered_prompts: RefCell::default(),
             answer_broken: Notify::new(),
             allocations: RefCell::new(Allocations::new(settings.vm.clone(), incarnation)),
             store_health: RefCell::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,7 @@
     event::Splitter,
     fleet::Verdict,
     port::Protocol,
-    proxy::{Attempts, RequestLog, TargetResponse, log_request_end},
+    proxy::{Attempts, RequestLog, TargetResponse, guarantees_not_run, log_request_end},
 };
 
 /// Maximum body size of a response that is not a stream.
@@ -103,6 +103,7 @@
     let body = match tokio::time::timeout_at(attempts.request.deadline, read).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
+            attempts.bill.record_broken(attempt.target());
             attempt.end(Verdict::Failed);
             return Err(RelayError::Retryable(Box::new(attempts), error.to_string()));
         }
@@ -136,7 +137,7 @@
         }
     }
     attempts.bill.set_has_run(true);
-    if head.status.is_success() {
+    if !guarantees_not_run(head.status) {
         attempts.bill.record_answer();
     }
     strip_connection(&mut head.headers);
@@ -305,6 +306,10 @@
 
     fn abort(&mut self, verdict: Verdict) {
         if let Some(response) = self.response.take() {
+            if verdict == Verdict::Failed {
+                let target = response.attempt.target();
+                self.attempts.bill.record_broken(target);
+            }
             response.attempt.end(verdict);
         }
         self.splitter = Splitter::new();
