--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -104,8 +104,8 @@
 
 #[derive(Debug, Clone)]
 struct Crash {
-    at: Instant,
-    used_at: Instant,
+    at: EventTime,
+    used_at: EventTime,
     suspects: BTreeMap<PartId, Suspicion>,
 }
 
@@ -119,8 +119,8 @@
     /// true if the time of the crash has changed.
     fn merge_times(&mut self, age: Millis, idle: Millis, now: Millis) -> bool {
         let before = self.at;
-        self.at = self.at.min(Instant::new(now, age));
-        self.used_at = self.used_at.max(Instant::new(now, idle));
+        self.at = self.at.min(EventTime::new(now, age));
+        self.used_at = self.used_at.max(EventTime::new(now, idle));
         self.at != before
     }
 
@@ -146,9 +146,9 @@
 /// A time of the entry's clock moved forward by [`CLOCK_OFFSET`], since a crash may have happened
 /// before the clock started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Instant(Millis);
+struct EventTime(Millis);
 
-impl Instant {
+impl EventTime {
     fn new(now: Millis, age: Millis) -> Self {
         Self((now + CLOCK_OFFSET).saturating_sub(age))
     }
@@ -163,7 +163,7 @@
 struct RefusedPart {
     part: PartId,
     crashes: usize,
-    last_crash: Instant,
+    last_crash: EventTime,
 }
 
 /// Whether a prompt may be sent to targets.
@@ -193,7 +193,7 @@
     /// Crashes whose reports have changed since [`CrashEvidence::take_news`].
     changed: BTreeSet<TargetIncarnation>,
     /// When a request of a refused part was last let through. Invariant: only refused parts.
-    probed_at: BTreeMap<PartId, Instant>,
+    probed_at: BTreeMap<PartId, EventTime>,
     /// When prompts with these parts were last answered to this entry.
     answered: HashMap<PartId, Millis>,
 }
@@ -254,8 +254,8 @@
             if report.idle >= CRASH_TTL {
                 continue;
             }
-            let at = Instant::new(now, report.age);
-            let used_at = Instant::new(now, report.idle);
+            let at = EventTime::new(now, report.age);
+            let used_at = EventTime::new(now, report.idle);
             let target = report.target;
             let is_new = !self.crashes.contains_key(&target);
             let crash = self.crashes.entry(target.clone()).or_insert(Crash {
@@ -329,7 +329,7 @@
         let part = refused.part;
         for crash in self.crashes.values_mut() {
             if crash.suspects(part) {
-                crash.used_at = Instant::new(now, Millis::ZERO);
+                crash.used_at = EventTime::new(now, Millis::ZERO);
             }
         }
         let since = self.probed_at.get(&part).copied();
@@ -343,7 +343,8 @@
             .iter()
             .all(|other| other.id == part || !self.is_refused(&[*other]));
         if retry_after.is_zero() && is_only_one && may_probe(part) {
-            self.probed_at.insert(part, Instant::new(now, Millis::ZERO));
+            self.probed_at
+                .insert(part, EventTime::new(now, Millis::ZERO));
             return Admission::Probe(part);
         }
         Admission::Refused {
@@ -489,7 +490,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Tally {
     crashes: usize,
-    last: Instant,
+    last: EventTime,
     depth: u8,
     was_answered: bool,
 }
