gateway: the input of a prompt counts once a target may have read it

Change: the input counts whenever a target may have read it. It is given back if every target that did has broken off the answer and still runs, so lost answers cost nothing as before; an answer that guarantees that nothing ran counts nothing. Test: callers that leave early, seen failing (19 served in place of 17).

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -159,11 +159,25 @@
     is_delivered: bool,
     /// Events relayed to the caller.
     events: u64,
-    /// Targets that broke off the answer.
+    /// Targets that have run the request or may have.
+    runs: usize,
+    /// Those of them that broke off the answer.
     broken: Vec<TargetIncarnation>,
 }
 
 impl<P> Bill<P> {
+    /// Records that a target may run the request from now on.
+    pub fn start_run(&mut self) {
+        self.runs += 1;
+        self.set_has_run(true);
+    }
+
+    /// Records that the target of the last run has not run the request after all.
+    pub fn cancel_run(&mut self) {
+        self.runs = self.runs.saturating_sub(1);
+        self.set_has_run(self.runs > 0);
+    }
+
     /// Records that a target broke off the answer.
     pub fn record_broken(&mut self, target: &TargetId) {
         let fleet = self.state.fleet.borrow();
@@ -171,14 +185,12 @@
         self.broken.extend(target);
     }
 
-    /// Sets whether the request runs or has run, and returns the previous value.
-    pub fn set_has_run(&mut self, has_run: bool) -> bool {
+    fn set_has_run(&mut self, has_run: bool) {
         let before = std::mem::replace(&mut self.has_run, has_run);
         if let Some(reservation) = self.reservation.as_ref().filter(|_| before != has_run) {
             let mut allocations = self.state.allocations.borrow_mut();
             allocations.set_running(reservation, self.input, has_run);
         }
-        before
     }
 
     /// Records that the caller gets an event of a stream.
@@ -192,14 +204,14 @@
         self.is_delivered = true;
     }
 
-    /// Tokens used so far, at most the reserved ones; zero without a reservation, and as long as the
-    /// caller has got nothing: an answer that was lost is not charged.
+    /// Tokens used so far, at most the reserved ones; zero without a reservation. The input counts once
+    /// a target may have read it.
     pub fn used(&self) -> Tokens {
         let reserved = self
             .reservation
             .as_ref()
             .map(|reservation| reservation.tokens);
-        let used = match self.is_delivered {
+        let used = match self.is_delivered || self.has_run {
             true => self.input + Tokens::new(self.events * self.tokens_per_event),
             false => Tokens::ZERO,
         };
@@ -209,13 +221,9 @@
 
 impl<P> Drop for Bill<P> {
     fn drop(&mut self) {
-        // A target that has read the prompt and ended has used the input. One that still runs has lost
-        // only the answer; it is asked before the input is charged for good.
-        let is_unanswered = self.has_run && !self.is_delivered && !self.broken.is_empty();
-        let used = match is_unanswered {
-            true => self.input,
-            false => self.used(),
-        };
+        // All targets that read the input have lost the answer; it is given back if they still run.
+        let has_lost_answer = self.has_run && !self.is_delivered && self.broken.len() == self.runs;
+        let used = self.used();
         self.set_has_run(false);
         let Some(reservation) = &self.reservation else {
             return;
@@ -224,7 +232,7 @@
         let mut allocations = self.state.allocations.borrow_mut();
         allocations.settle(reservation, used, now);
         drop(allocations);
-        if is_unanswered {
+        if has_lost_answer {
             let unanswered = UnansweredPrompt {
                 account: reservation.account.clone(),
                 input: used.min(reservation.tokens),
@@ -454,6 +462,7 @@
         has_run: false,
         is_delivered: false,
         events: 0,
+        runs: 0,
         broken: Vec::new(),
     };
     let payer = request.account.as_ref().zip(prompt);
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -339,7 +339,6 @@
                 AttemptError::NotRun(reason) => reason,
                 AttemptError::Unknown(reason) => {
                     self.may_have_run = true;
-                    self.bill.set_has_run(true);
                     self.bill.record_broken(&target);
                     if !self.request.route.kind.is_retryable() {
                         return Err(self.failure_refusal(&reason));
@@ -489,7 +488,7 @@
         self.sends += 1;
         self.update_log(&mut self.progress.borrow_mut());
         // From here on the target may run the request, even if the caller disconnects.
-        let had_run = self.bill.set_has_run(true);
+        self.bill.start_run();
         let until = self.response_deadline();
         let received = match tokio::time::timeout_at(until, sent).await {
             Err(_) if until < self.request.deadline => {
@@ -513,7 +512,7 @@
                     return Err(AttemptError::Unknown(reason));
                 }
                 // The target had closed an idle connection and is healthy; it may be tried again.
-                self.bill.set_has_run(had_run);
+                self.bill.cancel_run();
                 self.sends -= 1;
                 self.tried.pop();
                 return Err(AttemptError::NotSent(reason));
@@ -525,7 +524,7 @@
             // A target that responds has run the request, even if the response breaks off later.
             Ok(_) => self.may_have_run = true,
             Err(AttemptError::NotRun(_)) => {
-                self.bill.set_has_run(had_run);
+                self.bill.cancel_run();
             }
             Err(_) => {}
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -136,8 +136,9 @@
             return Box::pin(buffer_response(attempts, response, log)).await;
         }
     }
-    attempts.bill.set_has_run(true);
-    if !guarantees_not_run(head.status) {
+    if guarantees_not_run(head.status) {
+        attempts.bill.cancel_run();
+    } else {
         attempts.bill.record_answer();
     }
     strip_connection(&mut head.headers);
