gateway: a stream that answers after another target's error is relayed as a stream

Cause: after a server error the next response was always taken by the function for whole bodies. Change: the next response goes through the same choice as the first.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -64,6 +64,9 @@
         match result {
             Ok(response) => return Ok(response),
             Err(RelayError::Final(failure)) => return Err(failure),
+            Err(RelayError::Replaced(boxed)) => {
+                (attempts, response) = *boxed;
+            }
             Err(RelayError::Retryable(boxed, reason)) => {
                 attempts = *boxed;
                 if !attempts.may_retry() || !attempts.take_retry() {
@@ -77,8 +80,10 @@
     }
 }
 
-/// Why a response could not be relayed.
+/// Why a response was not relayed.
 enum RelayError<P> {
+    /// Another target has answered in place of the one that failed.
+    Replaced(Box<(Attempts<P>, TargetResponse<P>)>),
     /// Another target may be tried.
     Retryable(Box<Attempts<P>>, String),
     /// No further attempt is possible.
@@ -133,7 +138,7 @@
         // Without another response, the caller gets the server error.
         if let Ok(response) = retried {
             attempts.update_log(log);
-            return Box::pin(buffer_response(attempts, response, log)).await;
+            return Err(RelayError::Replaced(Box::new((attempts, response))));
         }
     }
     if guarantees_not_run(head.status) {
