--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -335,7 +335,7 @@
             .collect()
     }
 
-    /// Forgets limits that no target has repeated for [`KNOWN_LIMIT_TTL`].
+    /// Forgets limits that no target has repeated lately.
     pub fn expire(&mut self, now: Millis) {
         self.by_target
             .retain(|_, (_, at)| now.saturating_sub(*at) < KNOWN_LIMIT_TTL);
