--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -4,10 +4,12 @@
 
 use cyc_gateway::{
     call::PartId,
-    crash::CRASHES_TO_REFUSE,
+    crash::{CRASHES_TO_REFUSE, CrashReport, SuspectReport},
+    limit::{Grantor, LimitReport, LimitWord},
+    member::TargetIncarnation,
     news::{BATCH_TIME, Digest, FANOUT, INTERVAL, Knowledge, News, NewsReply, select},
 };
-use cyc_types::Millis;
+use cyc_types::{Millis, PerSecond};
 use googletest::prelude::*;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
@@ -383,3 +385,64 @@
     }
     expect_that!(of_each[1], le(40.0));
 }
+
+/// Guards against a message of another entry that takes this one down or makes its memory grow: random
+/// reports with extreme values, in any order.
+#[gtest]
+fn random_messages_are_harmless() {
+    for seed in 0..20 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut knowledge = Knowledge::default();
+        let mut grantor = Grantor::default();
+        let number = |rng: &mut StdRng| match rng.random_range(0..4) {
+            0 => rng.random_range(0..3),
+            1 => rng.random_range(0..100_000),
+            2 => rng.random(),
+            _ => u64::MAX - rng.random_range(0..3),
+        };
+        for _ in 0..300 {
+            let now = Millis::new(number(&mut rng) >> rng.random_range(0..20));
+            let run = TargetIncarnation {
+                id: format!("i-{}", rng.random_range(0..200)).parse().unwrap(),
+                started_at: rng.random_bool(0.5).then(|| number(&mut rng)),
+            };
+            let suspects = (0..rng.random_range(0..40)).map(|_| SuspectReport {
+                part: PartId::new(number(&mut rng) % 50),
+                depth: rng.random(),
+                is_cleared: rng.random_bool(0.2),
+                was_answered: rng.random_bool(0.2),
+            });
+            let suspects = suspects.collect();
+            let limit = PerSecond::new(f64::from_bits(rng.random()));
+            let news = News {
+                crashes: vec![CrashReport {
+                    target: run.clone(),
+                    age: Millis::new(number(&mut rng)),
+                    idle: Millis::new(number(&mut rng)),
+                    suspects,
+                }],
+                limits: vec![LimitReport {
+                    target: run.clone(),
+                    limit,
+                    age: Millis::new(number(&mut rng)),
+                }],
+            };
+            // As it arrives: through its text form.
+            let text = serde_json::to_string(&news).unwrap();
+            let news: News = serde_json::from_str(&text).unwrap();
+            let digest = knowledge.digest(now);
+            knowledge.answer(news, Some(&digest), now);
+            let word = LimitWord {
+                limit: rng.random_bool(0.8).then_some(limit),
+                age: Millis::new(number(&mut rng)),
+            };
+            grantor.request(&run, word, rng.random_bool(0.5), now);
+            let shared = parts(&[number(&mut rng) % 50]);
+            knowledge.crashes.admit(&shared, |_| true, now);
+            knowledge.expire(now);
+        }
+        let all = knowledge.all(Millis::new(5));
+        expect_that!(all.crashes.len(), le(64));
+        expect_that!(all.limits.len(), le(256));
+    }
+}
