--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -131,6 +131,11 @@
     }
 }
 
+/// The temporary folder of this run.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
 /// Runs a case, and exits with 0 if it returns true (the rule held), 1 if false, 2 on an error.
 pub fn run(case: impl FnOnce(&World) -> io::Result<bool>) -> ! {
     thread::spawn(|| {
@@ -141,6 +146,7 @@
                 .status()
                 .ok();
         }
+        fs::remove_dir_all(folder()).ok();
         eprintln!("the case is not over after {LIMIT:?}");
         exit(2)
     });
@@ -174,7 +180,7 @@
         let root = std::env::var("REPOSITORY")
             .map_err(io::Error::other)?
             .into();
-        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        let folder = folder();
         fs::create_dir_all(&folder)?;
         Ok(World {
             record: Record::create()?,
