Target selection moves into the crate cyc-balance

choose, group, affinity, decay and the prompt types only decide on plain inputs; gateway re-exports them under their former paths. The tests of choose move along; those of group use the fleet and stay. No change of behaviour.

--- a/crates/gateway/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -16,7 +16,7 @@
 
 use cyc_types::{Millis, hash};
 
-use crate::call::PromptPart;
+use crate::prompt::PromptPart;
 
 /// Prompts of at least this many tokens are long: they take more than one prefill step.
 pub const LONG_PROMPT_TOKENS: u64 = 4_096;
--- a/crates/gateway/src/group.rs
+++ b/crates/balance/src/group.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     affinity::{self, MIN_PREFERRED},
-    call::Prompt,
     choose::Lane,
+    prompt::Prompt,
 };
 
 /// Targets of a lane that are considered beside the preferred ones; all, if there are not more.
--- /dev/null
+++ b/crates/balance/tests/balance.rs
@@ -0,0 +1,4 @@
+//! Tests of target selection.
+
+#[path = "balance/choose.rs"]
+mod choose;
--- a/crates/gateway/tests/gateway/choose.rs
+++ b/crates/balance/tests/balance/choose.rs
@@ -1,8 +1,8 @@
 //! Target selection under typical load patterns.
 
-use cyc_gateway::{
-    call::{PartId, PromptPart},
+use cyc_balance::{
     choose::{Candidate, LONG_PROMPT_TOKENS, Lane, Options, PromptInput, choose, lanes},
+    prompt::{PartId, PromptPart},
 };
 use cyc_types::Tokens;
 use googletest::prelude::*;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,19 +9,15 @@
 //! response, [`control`] maintains the state, and [`port`] contains the traits for the protocol and
 //! the store.
 
-pub mod affinity;
 pub mod answer;
 pub mod call;
-pub mod choose;
 pub mod config;
 pub mod conn;
 pub mod control;
 pub mod crash;
 pub mod daemon;
-pub mod decay;
 pub mod event;
 pub mod fleet;
-pub mod group;
 pub mod limit;
 pub mod member;
 pub mod news;
@@ -36,4 +32,5 @@
 pub mod store_health;
 pub mod stream;
 
+pub use cyc_balance::{affinity, choose, decay, group};
 pub use daemon::{Settings, run};
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,7 +1,5 @@
 //! Tests of the entry that reaches its targets directly.
 
-#[path = "gateway/choose.rs"]
-mod choose;
 #[path = "gateway/config.rs"]
 mod config;
 #[path = "gateway/crash.rs"]
