Prefill rate, delay and memory of each target enter the choice

Cause: one constant of 30 tokens a ms stood for all targets, the fourth figure of the reported load was dropped, and the memory of targets was not known.

Without these a target counts as a typical one.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -16,7 +16,10 @@
 
 use cyc_types::{Millis, hash};
 
-use crate::prompt::PromptPart;
+use crate::{
+    prompt::PromptPart,
+    speed::{Slowdown, Speed},
+};
 
 /// Prompts of at least this many tokens are long: they take more than one prefill step.
 pub const LONG_PROMPT_TOKENS: u64 = 4_096;
@@ -25,6 +28,11 @@
 /// One in this many engines of an availability zone is set aside for short prompts, but at least
 /// one.
 const ENGINES_PER_SHORT_LANE: usize = 5;
+/// Fraction of a target's memory that requests use without waiting or preempting others.
+const USABLE_MEMORY: f64 = 0.85;
+/// Bound of the estimated lack of memory, relative to the part that should stay free: shared parts
+/// are counted for each request, so that the estimate may be far too high.
+const MAX_MEMORY_EXCESS: f64 = 2.0;
 /// Hash key with which all entries rank the engines of a zone in the same order.
 const LANE_HASH_KEY: u64 = 0x6c61_6e65;
 
@@ -72,7 +80,8 @@
 /// Cost weights of target selection.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
-    /// Prompt tokens that an engine is assumed to prefill per millisecond.
+    /// Prompt tokens that an engine is assumed to prefill per millisecond until its answers and
+    /// those of similar engines tell.
     pub prompt_tokens_per_ms: f64,
     /// Delay per request that the target is known to run.
     pub running_ms: f64,
@@ -90,6 +99,8 @@
     pub lane_ms: f64,
     /// Cost of each prefill step beyond the second to each concurrent stream.
     pub interference_ms: f64,
+    /// Delay on a target whose memory is full; requests there wait or preempt others.
+    pub memory_ms: f64,
     /// Penalty for a target in another availability zone, which also covers the price of the
     /// traffic.
     pub zone_ms: f64,
@@ -105,6 +116,7 @@
             reprefill_factor: 2.5,
             lane_ms: 250.0,
             interference_ms: 30.0,
+            memory_ms: 400.0,
             zone_ms: 12.0,
         }
     }
@@ -135,6 +147,16 @@
     /// Fraction of time that the target spends on prefill, estimated from this entry's own requests
     /// and the number of entries. Decoding of all streams on the target waits meanwhile.
     pub prefill_fraction: f64,
+    /// What the answers of the target tell of its speed.
+    pub speed: Speed,
+    /// Speed of the targets of the service in the mean.
+    pub typical: Speed,
+    /// How much longer work takes on the target's machine at the moment.
+    pub slowdown: Slowdown,
+    /// Estimated fraction of the target's memory that requests hold; 0 if its size is not known.
+    pub memory_fraction: f64,
+    /// Fraction of the target's memory that the whole prompt and its answer would take.
+    pub own_memory_fraction: f64,
     /// Measured time to first byte relative to the expected one, averaged; 1 is normal.
     pub slowness: f64,
     /// Number of leading shared parts of the prompt that are probably cached on the target, because
@@ -160,6 +182,22 @@
     pub estimate: Millis,
     /// Prompt tokens that the target has to prefill; 0 for plain services.
     pub uncached: u64,
+    /// Prompt tokens that this entry has sent the target before and that it has not prefilled.
+    pub ahead: u64,
+}
+
+impl Candidate<'_> {
+    /// Time that work takes on the target relative to the other targets of the service.
+    fn time_factor(&self) -> f64 {
+        self.speed.ms_per_token / self.typical.ms_per_token * self.slowdown.get()
+    }
+
+    /// Delay of a request for want of memory.
+    fn memory_delay(&self, options: &Options) -> f64 {
+        let fraction = self.memory_fraction + self.own_memory_fraction;
+        let excess = (fraction - USABLE_MEMORY) / (1.0 - USABLE_MEMORY);
+        excess.clamp(0.0, MAX_MEMORY_EXCESS) * options.memory_ms
+    }
 }
 
 /// Selects a target; `None` if there are no candidates. `prompt` is `None` for plain services.
@@ -184,11 +222,14 @@
     let costs = candidates.iter().enumerate().map(|(index, candidate)| {
         let uncached = uncached_tokens(candidate, prompt);
         let reprefill = uncached.saturating_sub(unshared) as f64 * (options.reprefill_factor - 1.0);
-        let prefill = (candidate.pending_tokens + uncached) as f64 / options.prompt_tokens_per_ms;
+        let ms_per_token = candidate.speed.ms_per_token;
+        let time_factor = candidate.time_factor();
+        let prefill =
+            (candidate.pending_tokens + uncached) as f64 * ms_per_token * candidate.slowdown.get();
         let running = f64::from(candidate.running.max(candidate.in_flight));
         let contention = running * options.running_ms;
         let steps = (uncached / LONG_PROMPT_TOKENS).saturating_sub(UNNOTICED_PREFILL_STEPS);
-        let interference = running * steps as f64 * options.interference_ms;
+        let interference = running * steps as f64 * options.interference_ms * time_factor;
         let queue = f64::from(candidate.waiting) * options.waiting_ms;
         let zone = if candidate.is_same_zone {
             0.0
@@ -196,14 +237,17 @@
             options.zone_ms
         };
         let prefill_delay = candidate.prefill_fraction.powi(2) * options.prefill_ms;
-        let wait = (prefill + contention + queue) * candidate.slowness.max(0.1);
-        let reprefill = reprefill / options.prompt_tokens_per_ms;
+        let delay = candidate.speed.delay_ms - candidate.typical.delay_ms;
+        let work = prefill + (contention + queue) * time_factor;
+        let wait = work * candidate.slowness.max(0.1) + delay;
+        let reprefill = reprefill * ms_per_token;
+        let memory = candidate.memory_delay(options);
         let lane = match candidate.lane.accepts(prompt.input) {
             true => 0.0,
             false => options.lane_ms,
         };
         (
-            wait + reprefill + zone + lane + interference + prefill_delay,
+            wait + reprefill + zone + lane + interference + prefill_delay + memory,
             wait,
             index,
             uncached,
@@ -214,6 +258,7 @@
         index: best.2,
         estimate: Millis::new(best.1 as u64),
         uncached: best.3,
+        ahead: candidates[best.2].pending_tokens,
     })
 }
 
@@ -227,7 +272,9 @@
         } else {
             options.zone_ms
         };
-        let wait = (utilization * options.waiting_ms + queue) * candidate.slowness.max(0.1);
+        let wait = (utilization * options.waiting_ms + queue)
+            * candidate.slowness.max(0.1)
+            * candidate.slowdown.get();
         (wait + zone, wait, index)
     });
     let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -235,6 +282,7 @@
         index: best.2,
         estimate: Millis::new(best.1 as u64),
         uncached: 0,
+        ahead: 0,
     })
 }
 
--- a/crates/balance/src/prompt.rs
+++ b/crates/balance/src/prompt.rs
@@ -45,6 +45,22 @@
     pub tokens: Tokens,
 }
 
+/// Token counts of a generation request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PromptSize {
+    /// Size of the whole prompt.
+    pub input: Tokens,
+    /// Maximum number of output tokens.
+    pub max_output: Tokens,
+}
+
+impl PromptSize {
+    /// Tokens that the request may hold in the memory of a target.
+    pub fn total(self) -> Tokens {
+        self.input + self.max_output
+    }
+}
+
 /// Token counts and parts of a generation request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -62,6 +78,14 @@
         self.input + self.max_output
     }
 
+    /// The token counts.
+    pub fn size(&self) -> PromptSize {
+        PromptSize {
+            input: self.input,
+            max_output: self.max_output,
+        }
+    }
+
     /// The parts that other requests may have in common.
     pub fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/crates/balance/tests/balance.rs
+++ b/crates/balance/tests/balance.rs
@@ -2,3 +2,5 @@
 
 #[path = "balance/choose.rs"]
 mod choose;
+#[path = "balance/speed.rs"]
+mod speed;
--- a/crates/balance/tests/balance/choose.rs
+++ b/crates/balance/tests/balance/choose.rs
@@ -3,6 +3,7 @@
 use cyc_balance::{
     choose::{Candidate, LONG_PROMPT_TOKENS, Lane, Options, PromptInput, choose, lanes},
     prompt::{PartId, PromptPart},
+    speed::{Slowdown, Speed},
 };
 use cyc_types::Tokens;
 use googletest::prelude::*;
@@ -19,6 +20,11 @@
         waiting: 0,
         slots: 128,
         prefill_fraction: 0.0,
+        speed: Speed::new(100.0, 30.0),
+        typical: Speed::new(100.0, 30.0),
+        slowdown: Slowdown::default(),
+        memory_fraction: 0.0,
+        own_memory_fraction: 0.0,
         slowness: 1.0,
         cached_parts: 0,
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! A decoded request of a caller.
 
-pub use cyc_balance::prompt::{PartId, Prompt, PromptPart};
+pub use cyc_balance::prompt::{PartId, Prompt, PromptPart, PromptSize};
 use cyc_types::Millis;
 use smol_str::SmolStr;
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -105,6 +105,9 @@
     pub batch: Option<u32>,
     /// Output tokens per event of a stream.
     pub tokens_per_event: u32,
+    /// Tokens that fit in the memory of one model engine.
+    #[serde(default)]
+    pub memory: Option<Tokens>,
 }
 
 /// A client account.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,12 +7,12 @@
 };
 
 use cyc_route::{Availability, Failure, Health, health};
-use cyc_types::{AvailabilityZone, Millis, PerSecond, ServiceId, TargetId, VmId, hash};
+use cyc_types::{AvailabilityZone, Millis, PerSecond, ServiceId, TargetId, Tokens, VmId, hash};
 use rand::{SeedableRng as _, rngs::StdRng};
 
 use crate::{
     affinity::PrefixDemand,
-    call::{PartId, Prompt, PromptPart},
+    call::{PartId, Prompt, PromptPart, PromptSize},
     choose::{self, Candidate, Choice, Lane, PromptInput},
     conn::Pool,
     decay::DecayingSum,
@@ -20,6 +20,7 @@
     limit::TargetLimit,
     member::{Record, TargetIncarnation, TargetState},
     port::StatedLimit,
+    speed::{Slowdown, Speed, SpeedEstimate},
 };
 
 /// Consecutive failures that eject a target.
@@ -58,6 +59,9 @@
     pub waiting: u32,
     /// Requests that the target runs concurrently.
     pub slots: u32,
+    /// Time that work takes on the target's machine at the moment, in percent of the usual time;
+    /// `None` if the target does not tell.
+    pub work_percent: Option<u32>,
 }
 
 /// The prompts that this entry's requests made a target, or all targets of a service, prefill
@@ -89,25 +93,62 @@
     requests: f64,
     tokens_per_request: f64,
     other_entries: f64,
-    /// Tokens that a target can prefill in the time over which requests are counted.
-    capacity: f64,
+    /// Speed of the targets of the service.
+    typical: Speed,
 }
 
 impl AveragePrefill {
     /// Estimates the fraction of time that a target spends on prefill for all entries, which send
     /// about as much to a service each. The few requests that this entry has sent to the target
-    /// tell little about the other entries.
-    fn fraction(&self, own: &Prefill, now: Millis) -> f64 {
+    /// tell little about the other entries, which are assumed to send faster targets more, so that
+    /// all targets spend the same time on their requests.
+    fn fraction(&self, own: &Prefill, speed: Speed, now: Millis) -> f64 {
         if self.requests <= 0.0 {
             return 0.0;
         }
         let expected = (PREFILL_PRIOR_REQUESTS + own.requests(now))
             / (PREFILL_PRIOR_REQUESTS / self.requests + 1.0);
         let others = expected * self.other_entries * self.tokens_per_request;
-        ((own.tokens(now) + others) / self.capacity).min(1.0)
+        let time_ms = own.tokens(now) * speed.ms_per_token + others * self.typical.ms_per_token;
+        (time_ms / PREFILL_TIME_CONSTANT.get() as f64).min(1.0)
     }
 }
 
+/// The memory of the targets of a service, for one request.
+#[derive(Debug, Clone, Copy)]
+struct Memory {
+    /// Tokens that fit in the memory of a target; `None` if that is not known.
+    capacity: Option<Tokens>,
+    /// Tokens that a request to the service holds in the mean.
+    per_request: f64,
+    /// Fraction of the memory that the request will hold.
+    own: f64,
+}
+
+impl Memory {
+    /// Estimates the fraction of a target's memory that is held. Requests of other entries are
+    /// assumed to hold as much as those of this one.
+    fn used(&self, held: u64, running: u32, in_flight: u32) -> f64 {
+        let Some(capacity) = self.capacity else {
+            return 0.0;
+        };
+        let others = f64::from(running.saturating_sub(in_flight)) * self.per_request;
+        (held as f64 + others) / (capacity.get() as f64).max(1.0)
+    }
+}
+
+/// What this entry knows of the targets of a service together.
+#[derive(Debug, Default)]
+struct ServiceProfile {
+    speed: SpeedEstimate,
+    /// Tokens that fit in the memory of each target.
+    memory: Option<Tokens>,
+    /// Tokens held by this entry's requests that have not ended.
+    held_tokens: u64,
+    /// Number of these requests.
+    holders: u64,
+}
+
 /// A target and its state.
 #[derive(Debug)]
 pub struct Target {
@@ -124,8 +165,11 @@
     limit: Option<TargetLimit>,
     /// When the target last answered without a limit.
     unlimited_at: Millis,
+    speed: SpeedEstimate,
     slowness: f64,
     slowness_at: Millis,
+    /// Tokens of the prompts and answers of this entry's attempts that have not ended.
+    held_tokens: u64,
     cached: HashMap<PartId, Millis>,
 }
 
@@ -147,8 +191,10 @@
             load: None,
             limit: None,
             unlimited_at: Millis::ZERO,
+            speed: SpeedEstimate::default(),
             slowness: 1.0,
             slowness_at: now,
+            held_tokens: 0,
             cached: HashMap::new(),
         }
     }
@@ -159,6 +205,21 @@
         1.0 + (self.slowness - 1.0) * kept
     }
 
+    fn load(&self, now: Millis) -> Load {
+        let load = self.load;
+        let load = load.filter(|(_, at)| now.saturating_sub(*at) <= LOAD_REPORT_TTL);
+        load.map_or(Load::default(), |(load, _)| load)
+    }
+
+    fn slowdown(&self, now: Millis) -> Slowdown {
+        let Some((load, at)) = self.load else {
+            return Slowdown::default();
+        };
+        let percent = load.work_percent;
+        let reported = percent.map_or(Slowdown::default(), Slowdown::from_percent);
+        reported.after(now.saturating_sub(at))
+    }
+
     fn cached_parts(&self, shared: &[PromptPart], now: Millis) -> usize {
         let is_cached = |part: &&PromptPart| {
             let at = self.cached.get(&part.id);
@@ -171,13 +232,12 @@
         &'a self,
         zone: &AvailabilityZone,
         average: &AveragePrefill,
+        memory: Memory,
         shared: &[PromptPart],
         now: Millis,
     ) -> Candidate<'a> {
-        let load = self
-            .load
-            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_REPORT_TTL);
-        let load = load.map_or(Load::default(), |(load, _)| load);
+        let load = self.load(now);
+        let speed = self.speed.get(average.typical, now);
         Candidate {
             id: self.record.id.as_str(),
             is_same_zone: self.record.zone == *zone,
@@ -188,7 +248,12 @@
             running: load.running,
             waiting: load.waiting,
             slots: self.record.slots,
-            prefill_fraction: average.fraction(&self.prefill, now),
+            prefill_fraction: average.fraction(&self.prefill, speed, now),
+            speed,
+            typical: average.typical,
+            slowdown: self.slowdown(now),
+            memory_fraction: memory.used(self.held_tokens, load.running, self.in_flight),
+            own_memory_fraction: memory.own,
             slowness: self.slowness(now),
             cached_parts: self.cached_parts(shared, now),
         }
@@ -210,6 +275,8 @@
 pub struct FinishedPrefill<'a> {
     /// Tokens that the target had to prefill.
     pub uncached: u64,
+    /// Tokens that it had to prefill before.
+    pub ahead: u64,
     /// The prompt; `None` for requests to plain services.
     pub prompt: Option<&'a Prompt>,
     /// Time from sending the request to the first byte of the response.
@@ -260,6 +327,7 @@
     targets: BTreeMap<TargetId, Target>,
     /// The ready targets of each service.
     services: HashMap<ServiceId, ServiceTargets>,
+    profiles: HashMap<ServiceId, ServiceProfile>,
     /// Prompts that this entry has sent to the targets of each service, by lane.
     prefill: HashMap<(ServiceId, Lane), Prefill>,
     demand: PrefixDemand,
@@ -276,6 +344,7 @@
             entries: 1,
             targets: BTreeMap::new(),
             services: HashMap::new(),
+            profiles: HashMap::new(),
             prefill: HashMap::new(),
             demand: PrefixDemand::default(),
             rng: StdRng::seed_from_u64(0),
@@ -343,6 +412,66 @@
         self.entries = entries.max(1);
     }
 
+    /// Sets the tokens that fit in the memory of each target of a service.
+    pub fn set_memory(&mut self, service: &ServiceId, memory: Option<Tokens>) {
+        match self.profiles.get_mut(service) {
+            Some(profile) => profile.memory = memory,
+            None => self.profiles.entry(service.clone()).or_default().memory = memory,
+        }
+    }
+
+    fn assumed_speed(&self) -> Speed {
+        Speed::new(BASE_LATENCY_MS, self.options.prompt_tokens_per_ms)
+    }
+
+    /// The speed of the targets of a service in the mean.
+    pub fn typical_speed(&self, service: &ServiceId, now: Millis) -> Speed {
+        let assumed = self.assumed_speed();
+        let profile = self.profiles.get(service);
+        profile.map_or(assumed, |profile| profile.speed.get(assumed, now))
+    }
+
+    fn memory(&self, service: &ServiceId, prompt: Option<&Prompt>) -> Memory {
+        let profile = self.profiles.get(service);
+        let capacity = profile.and_then(|profile| profile.memory);
+        let (held, holders) =
+            profile.map_or((0, 0), |profile| (profile.held_tokens, profile.holders));
+        let own = prompt.map_or(0, |prompt| prompt.size().total().get());
+        Memory {
+            capacity,
+            per_request: (held + own) as f64 / (holders + 1) as f64,
+            own: capacity.map_or(0.0, |capacity| {
+                own as f64 / (capacity.get() as f64).max(1.0)
+            }),
+        }
+    }
+
+    /// Records that a target holds a request of this size in its memory.
+    pub fn hold_memory(&mut self, id: &TargetId, size: PromptSize) {
+        let tokens = size.total().get();
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.held_tokens += tokens;
+        let profile = self.profiles.entry(target.record.service.clone());
+        let profile = profile.or_default();
+        profile.held_tokens += tokens;
+        profile.holders += 1;
+    }
+
+    /// Records that a target no longer holds a request of this size, which was sent to `service`.
+    pub fn release_memory(&mut self, service: &ServiceId, id: &TargetId, size: PromptSize) {
+        let tokens = size.total().get();
+        if let Some(target) = self.targets.get_mut(id) {
+            target.held_tokens = target.held_tokens.saturating_sub(tokens);
+        }
+        // The target may have left in the meantime; its service has still one request less.
+        if let Some(profile) = self.profiles.get_mut(service) {
+            profile.held_tokens = profile.held_tokens.saturating_sub(tokens);
+            profile.holders = profile.holders.saturating_sub(1);
+        }
+    }
+
     /// Looks up a target by its id.
     pub fn get(&self, id: &TargetId) -> Option<&Target> {
         self.targets.get(id)
@@ -354,6 +483,7 @@
         id: &ServiceId,
         service: &ServiceTargets,
         lane: Lane,
+        typical: Speed,
         now: Millis,
     ) -> AveragePrefill {
         let all = self.prefill.get(&(id.clone(), lane));
@@ -363,7 +493,7 @@
             requests: requests / service.lane_len(lane).max(1) as f64,
             tokens_per_request: all.tokens(now) / requests.max(f64::MIN_POSITIVE),
             other_entries: (self.entries - 1) as f64,
-            capacity: self.options.prompt_tokens_per_ms * PREFILL_TIME_CONSTANT.get() as f64,
+            typical,
         }
     }
 
@@ -376,7 +506,8 @@
         now: Millis,
     ) -> Option<(TargetId, Choice)> {
         let shared = prompt.map_or(&[][..], Prompt::shared);
-        let preferred = self.preferred_count(prompt, shared, now);
+        let typical = self.typical_speed(required.service, now);
+        let preferred = self.preferred_count(prompt, shared, typical, now);
         let service = self.services.get(required.service)?;
         let considered = service.consider(prompt, preferred, &mut self.rng, |id| {
             let target = self.targets.get(id)?;
@@ -395,17 +526,19 @@
                 index: 0,
                 estimate: Millis::ZERO,
                 uncached: prompt.map_or(0, |prompt| prompt.input.get()),
+                ahead: 0,
             };
             return Some((probe.clone(), choice));
         }
-        let average = |lane| self.average_prefill(required.service, service, lane, now);
+        let average = |lane| self.average_prefill(required.service, service, lane, typical, now);
         let averages = [Lane::Any, Lane::Short, Lane::Long].map(|lane| (lane, average(lane)));
         let averages = BTreeMap::from(averages);
+        let memory = self.memory(required.service, prompt);
         let candidates = considered.targets.iter().filter_map(|(id, affinity)| {
             let target = self.targets.get(*id)?;
             Some(Candidate {
                 affinity: *affinity,
-                ..target.candidate(&self.zone, &averages[&target.lane], shared, now)
+                ..target.candidate(&self.zone, &averages[&target.lane], memory, shared, now)
             })
         });
         let candidates: Vec<Candidate<'_>> = candidates.collect();
@@ -424,12 +557,13 @@
         &mut self,
         prompt: Option<&Prompt>,
         shared: &[PromptPart],
+        typical: Speed,
         now: Millis,
     ) -> usize {
         let (Some(prompt), Some(prefix)) = (prompt, shared.last()) else {
             return 0;
         };
-        let tokens_per_ms = self.options.prompt_tokens_per_ms;
+        let tokens_per_ms = typical.tokens_per_ms();
         let count = self
             .demand
             .preferred(prefix.id.get(), self.entries, tokens_per_ms, now);
@@ -454,6 +588,7 @@
 
     /// Records that a target has finished prefill and starts to respond.
     pub fn finish_prefill(&mut self, id: &TargetId, prefill: &FinishedPrefill<'_>, now: Millis) {
+        let assumed = self.assumed_speed();
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
@@ -466,6 +601,13 @@
             let slowness = target.slowness(now);
             target.slowness = slowness + (ratio.clamp(0.5, 8.0) - slowness) * SLOWNESS_WEIGHT;
             target.slowness_at = now;
+            let tokens = prefill.ahead + prefill.uncached;
+            let took_ms = prefill.took.get() as f64 / target.slowdown(now).get();
+            let profile = self.profiles.entry(target.record.service.clone());
+            let profile = profile.or_default();
+            let typical = profile.speed.get(assumed, now);
+            target.speed.record(tokens, took_ms, typical, now);
+            profile.speed.record(tokens, took_ms, assumed, now);
         }
     }
 
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::{AdmittedRequest, Bill, RETRY_AFTER_REFUSED_PROMPT, RequestLog, retry_after};
 use crate::{
-    call::{Call, PromptPart},
+    call::{Call, Prompt, PromptPart, PromptSize},
     choose::Choice,
     config::{RouteKind, Service},
     conn::{Conn, Pool},
@@ -44,6 +44,11 @@
     target: TargetId,
     /// Prompt tokens that the target has not prefilled.
     pending_tokens: u64,
+    /// Prompt tokens that the target had to prefill before.
+    ahead: u64,
+    service: ServiceId,
+    /// What the request holds in the target's memory; `None` at plain services.
+    size: Option<PromptSize>,
     sent_at: Millis,
     expected: Millis,
     verdict: Verdict,
@@ -60,15 +65,28 @@
 }
 
 impl<P> ActiveAttempt<P> {
-    fn new(state: Rc<State<P>>, target: TargetId, choice: &Choice, call: &Call) -> Self {
+    fn new(
+        state: Rc<State<P>>,
+        service: ServiceId,
+        target: TargetId,
+        choice: &Choice,
+        call: &Call,
+    ) -> Self {
         let now = state.now();
         let mut fleet = state.fleet.borrow_mut();
         fleet.start_attempt(&target, choice.uncached, now);
+        let size = call.prompt.as_ref().map(Prompt::size);
+        if let Some(size) = size {
+            fleet.hold_memory(&target, size);
+        }
         drop(fleet);
         Self {
             state,
             target,
             pending_tokens: choice.uncached,
+            ahead: choice.ahead,
+            service,
+            size,
             sent_at: now,
             expected: choice.estimate,
             verdict: Verdict::Abandoned,
@@ -123,6 +141,7 @@
         let now = self.state.now();
         let prefill = FinishedPrefill {
             uncached: self.pending_tokens,
+            ahead: self.ahead,
             prompt: request.call.prompt.as_ref(),
             took: now.saturating_sub(self.sent_at),
             expected: self.expected,
@@ -149,6 +168,9 @@
     fn drop(&mut self) {
         let now = self.state.now();
         let mut fleet = self.state.fleet.borrow_mut();
+        if let Some(size) = self.size {
+            fleet.release_memory(&self.service, &self.target, size);
+        }
         let is_ejected = fleet.end_attempt(&self.target, self.pending_tokens, self.verdict, now);
         drop(fleet);
         if is_ejected {
@@ -396,6 +418,7 @@
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.set_entries(entries);
         let service = self.request.config.service(&self.service);
+        fleet.set_memory(&self.service, service.and_then(|service| service.memory));
         let required = Requirements {
             service: &self.service,
             connections: connection_limit(service, entries),
@@ -464,6 +487,7 @@
         };
         let attempt = ActiveAttempt::new(
             self.state.clone(),
+            self.service.clone(),
             target.clone(),
             choice,
             &self.request.call,
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -2,8 +2,8 @@
 
 use cyc_gateway::{
     call::Prompt,
-    choose::Options,
-    fleet::{Fleet, Requirements, Verdict},
+    choose::{Choice, Options},
+    fleet::{FinishedPrefill, Fleet, Load, Requirements, Verdict},
     member::{Record, TargetIncarnation, TargetState},
 };
 use cyc_types::{Millis, ServiceId, TargetId, Tokens};
@@ -177,3 +177,120 @@
         some(anything())
     );
 }
+
+fn generation(input: u64) -> Prompt {
+    Prompt {
+        input: Tokens::new(input),
+        max_output: Tokens::new(200),
+        parts: Vec::new(),
+    }
+}
+
+/// Sends prompts of 3,000 tokens, two at a time, to targets that prefill this many tokens per ms.
+/// Returns the part of the requests that each target got.
+fn shares(rates: &[f64], work_percent: &[Option<u32>]) -> Vec<f64> {
+    let names: Vec<String> = (0..rates.len()).map(|index| format!("i-{index}")).collect();
+    let records = names.iter().map(|name| record(name, TargetState::Ready));
+    let mut fleet = fleet(&records.collect::<Vec<Record>>());
+    let prompt = generation(3_000);
+    let mut counts = vec![0.0; rates.len()];
+    let mut running = Vec::new();
+    for number in 0..2_000 {
+        let now = Millis::new(number * 60);
+        running.retain(|(end, index, choice): &(u64, usize, Choice)| {
+            if *end > now.get() {
+                return true;
+            }
+            let at = Millis::new(*end);
+            let load = Load {
+                work_percent: work_percent[*index],
+                slots: 8,
+                ..Load::default()
+            };
+            fleet.record_load(&id(&names[*index]), load, at);
+            let prefill = FinishedPrefill {
+                uncached: choice.uncached,
+                ahead: choice.ahead,
+                prompt: Some(&prompt),
+                took: Millis::new(100 + ((choice.ahead + 3_000) as f64 / rates[*index]) as u64),
+                expected: choice.estimate,
+            };
+            fleet.finish_prefill(&id(&names[*index]), &prefill, at);
+            fleet.end_attempt(&id(&names[*index]), 0, Verdict::Answered, at);
+            false
+        });
+        let (target, choice) = fleet
+            .choose(&required(&service(), &[]), Some(&prompt), now)
+            .unwrap();
+        let index = names.iter().position(|name| id(name) == target).unwrap();
+        counts[index] += 1.0 / 2_000.0;
+        fleet.start_attempt(&target, choice.uncached, now);
+        let took = 100.0 + (choice.ahead + 3_000) as f64 / rates[index];
+        running.push((now.get() + took as u64, index, choice));
+    }
+    counts
+}
+
+/// An engine on a slow machine would get as many prompts as the others.
+#[gtest]
+fn a_slower_target_gets_fewer_prompts() {
+    let alike = shares(&[30.0; 2], &[None; 2]);
+    expect_that!(alike[0], near(0.5, 0.1));
+    let unequal = shares(&[36.0, 16.0], &[None; 2]);
+    expect_that!(unequal[1], le(0.4), "{unequal:?}");
+    expect_that!(unequal[1], ge(0.1), "{unequal:?}");
+}
+
+/// Work of others on its machine slows a target down at once; averages show it seconds later.
+#[gtest]
+fn a_target_whose_machine_is_busy_is_avoided_for_a_moment() {
+    let records = [
+        record("i-1", TargetState::Ready),
+        record("i-2", TargetState::Ready),
+    ];
+    let mut fleet = fleet(&records);
+    let load = |work_percent| Load {
+        slots: 8,
+        work_percent,
+        ..Load::default()
+    };
+    let prompt = generation(6_000);
+    let mut count = |percent, now| {
+        fleet.record_load(&id("i-1"), load(percent), Millis::new(1_000));
+        let chosen = (0..50).filter(|_| {
+            let found = fleet.choose(&required(&service(), &[]), Some(&prompt), Millis::new(now));
+            found.unwrap().0 == id("i-1")
+        });
+        chosen.count()
+    };
+    let usual = (count(None, 1_000), count(Some(100), 1_000));
+    expect_that!(usual.0, eq(usual.1));
+    expect_that!(count(Some(300), 1_050), eq(0));
+    expect_that!(count(Some(300), 9_000), eq(usual.0));
+}
+
+/// Requests at an engine whose memory is full wait, or others there lose theirs.
+#[gtest]
+fn a_target_whose_memory_is_full_is_avoided() {
+    let records = [
+        record("i-1", TargetState::Ready),
+        record("i-2", TargetState::Ready),
+    ];
+    let mut fleet = fleet(&records);
+    let prompt = generation(9_000);
+    let found = |fleet: &mut Fleet| {
+        let found = fleet.choose(&required(&service(), &[]), Some(&prompt), Millis::ZERO);
+        found.unwrap().0
+    };
+    let first = found(&mut fleet);
+    for _ in 0..4 {
+        fleet.hold_memory(&first, prompt.size());
+    }
+    expect_that!(found(&mut fleet), eq(&first));
+    fleet.set_memory(&service(), Some(Tokens::new(46_000)));
+    expect_that!(found(&mut fleet), not(eq(&first)));
+    for _ in 0..4 {
+        fleet.release_memory(&service(), &first, prompt.size());
+    }
+    expect_that!(found(&mut fleet), eq(&first));
+}
--- a/crates/gateway/tests/gateway/group.rs
+++ b/crates/gateway/tests/gateway/group.rs
@@ -125,6 +125,7 @@
             let fleet = &mut self.fleets[request.entry];
             let prefill = FinishedPrefill {
                 uncached: request.choice.uncached,
+                ahead: request.choice.ahead,
                 prompt: Some(&request.prompt),
                 took: request.took,
                 expected: request.choice.estimate,
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -192,6 +192,7 @@
             index: target,
             estimate: Millis::ZERO,
             uncached: prompt.map_or(0, |prompt| prompt.input.get()),
+            ahead: 0,
         };
         Some((target, choice))
     }
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -345,12 +345,14 @@
                     running,
                     waiting,
                     slots: self.scenario.service.slots,
+                    work_percent: None,
                 }
             }
         };
         let details = &self.requests[state.request];
         let prefill = FinishedPrefill {
             uncached: state.choice.uncached,
+            ahead: state.choice.ahead,
             prompt: details.prompt.as_ref(),
             took: Millis::new((self.queue.now_ms() - state.sent_ms) as u64),
             expected: state.choice.estimate,
@@ -457,6 +459,7 @@
                 running,
                 waiting,
                 slots: self.scenario.engines.slots,
+                work_percent: None,
             };
         }
         for (attempt, is_last) in step.tokens {
--- a/crates/relay/tests/relay/calls.rs
+++ b/crates/relay/tests/relay/calls.rs
@@ -88,6 +88,7 @@
         max_connections: 600,
         batch: Some(128),
         tokens_per_event: 3,
+        memory: None,
     };
     let account = |name: &str| Account {
         id: name.parse().unwrap(),
