Lanes sized by their work where the pauses of streams matter

Cause: one engine in five of a zone took the prompts under 4,096 tokens whatever the mix, a zone with one engine had no lanes, and waits of more than 250 ms sent long prompts among the streams. A prefill step of 2,048 tokens takes 54 ms at 38 tokens a ms; an event of three tokens spans three steps. That passes 400 ms only on an engine of factor 0.55 or in a spell of 2.5, and only beside a prompt of several steps: selection can keep these apart, not avoid the spells, which most streams meet.

A service that gets short prompts with it has lanes over all its zones, sized in sixths by the prefill and the streams that this entry sees, with hysteresis; entries rank engines alike. The penalty for the other lane follows the pause that a prefill step there causes against the pause that is allowed.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -7,75 +7,33 @@
 //!
 //! [`affinity`]: crate::affinity
 //!
-//! Lanes: an engine prefills a long prompt in several steps, which also delay the next token of
-//! every stream on that engine. In each availability zone some engines are set aside for short
-//! prompts, so that streams of short prompts do not share an engine with long ones while the other
-//! lane has capacity.
+//! Lanes: some engines are set aside for short prompts, see [`lane`], so that streams of short
+//! prompts do not share an engine with long ones while the other lane has capacity. How much a prompt
+//! may cost the streams of the other lane depends on the pauses that their callers accept.
+//!
+//! [`lane`]: crate::lane
 //!
 //! Plain services: the least loaded target, preferably in the entry's availability zone.
 
-use cyc_types::{Millis, hash};
+use cyc_types::Millis;
 
+pub use crate::lane::{LONG_PROMPT_TOKENS, Lane, lanes};
 use crate::{
     prompt::PromptPart,
     speed::{Slowdown, Speed},
 };
 
-/// Prompts of at least this many tokens are long: they take more than one prefill step.
-pub const LONG_PROMPT_TOKENS: u64 = 4_096;
 /// Prefill steps that delay concurrent streams by less than a pause that callers notice.
 const UNNOTICED_PREFILL_STEPS: u64 = 2;
-/// One in this many engines of an availability zone is set aside for short prompts, but at least
-/// one.
-const ENGINES_PER_SHORT_LANE: usize = 5;
+/// Prompt tokens that an engine prefills in one step, during which no stream on it advances.
+const PREFILL_STEP_TOKENS: f64 = 2_048.0;
+/// Bounds of the penalty for the other lane, relative to that for a pause of half the longest one.
+const PAUSE_BOUNDS: (f64, f64) = (0.5, 2.0);
 /// Fraction of a target's memory that requests use without waiting or preempting others.
 const USABLE_MEMORY: f64 = 0.85;
 /// Bound of the estimated lack of memory, relative to the part that should stay free: shared parts
 /// are counted for each request, so that the estimate may be far too high.
 const MAX_MEMORY_EXCESS: f64 = 2.0;
-/// Hash key with which all entries rank the engines of a zone in the same order.
-const LANE_HASH_KEY: u64 = 0x6c61_6e65;
-
-/// The prompts that an engine is set aside for.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Lane {
-    /// All prompts.
-    #[default]
-    Any,
-    /// Prompts below [`LONG_PROMPT_TOKENS`].
-    Short,
-    /// Prompts of at least [`LONG_PROMPT_TOKENS`].
-    Long,
-}
-
-impl Lane {
-    /// Returns true if prompts of `input` tokens belong to the lane.
-    pub fn accepts(self, input: u64) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Short => input < LONG_PROMPT_TOKENS,
-            Self::Long => input >= LONG_PROMPT_TOKENS,
-        }
-    }
-}
-
-/// Assigns lanes to the engines of one availability zone, given by their ids. A zone with a single
-/// engine has no lanes.
-pub fn lanes(ids: &[&str]) -> Vec<Lane> {
-    let mut lanes = vec![Lane::Long; ids.len()];
-    if ids.len() < 2 {
-        return vec![Lane::Any; ids.len()];
-    }
-    let mut ranked: Vec<usize> = (0..ids.len()).collect();
-    ranked.sort_by_key(|index| hash::rendezvous_weight(LANE_HASH_KEY, ids[*index]));
-    for index in ranked
-        .into_iter()
-        .take((ids.len() / ENGINES_PER_SHORT_LANE).max(1))
-    {
-        lanes[index] = Lane::Short;
-    }
-    lanes
-}
 
 /// Cost weights of target selection.
 #[derive(Debug, Clone, PartialEq)]
@@ -97,6 +55,12 @@
     /// Penalty for using the other lane: the cost of a long prompt to the streams on the same
     /// engine.
     pub lane_ms: f64,
+    /// Penalty for a long prompt that uses the other lane where the pauses of streams matter, if a
+    /// prefill step there makes streams pause for half of the longest pause.
+    pub pause_ms: f64,
+    /// The same for a stream that uses the lane of long prompts. It is lower, because waiting in its
+    /// own lane makes the stream late as well, and only itself.
+    pub own_pause_ms: f64,
     /// Cost of each prefill step beyond the second to each concurrent stream.
     pub interference_ms: f64,
     /// Delay on a target whose memory is full; requests there wait or preempt others.
@@ -115,6 +79,8 @@
             waiting_ms: 60.0,
             reprefill_factor: 2.5,
             lane_ms: 250.0,
+            pause_ms: 600.0,
+            own_pause_ms: 300.0,
             interference_ms: 30.0,
             memory_ms: 400.0,
             zone_ms: 12.0,
@@ -164,6 +130,24 @@
     pub cached_parts: usize,
 }
 
+/// Which pauses between the events of a stream its callers notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pauses {
+    /// The longest pause with which an answer is on time.
+    pub longest: Millis,
+    /// Output tokens per event. Each takes a step, and each step may prefill a part of a prompt.
+    pub tokens_per_event: u32,
+}
+
+impl Pauses {
+    /// The pause that a long prompt causes on a target, as a fraction of the longest one.
+    fn fraction(self, candidate: &Candidate<'_>) -> f64 {
+        let step_ms = PREFILL_STEP_TOKENS * candidate.speed.ms_per_token;
+        let pause_ms = step_ms * f64::from(self.tokens_per_event) * candidate.slowdown.get();
+        pause_ms / (self.longest.get() as f64).max(1.0)
+    }
+}
+
 /// A prompt as an input of the selection.
 #[derive(Debug, Clone, Copy)]
 pub struct PromptInput<'a> {
@@ -171,6 +155,9 @@
     pub input: u64,
     /// The parts that other requests may have in common.
     pub shared: &'a [PromptPart],
+    /// The pauses that matter if the prompt uses the other lane: those of its own stream for a short
+    /// prompt, those of the streams of short prompts for a long one.
+    pub pauses: Option<Pauses>,
 }
 
 /// The selected target and its estimates.
@@ -242,9 +229,18 @@
         let wait = work * candidate.slowness.max(0.1) + delay;
         let reprefill = reprefill * ms_per_token;
         let memory = candidate.memory_delay(options);
-        let lane = match candidate.lane.accepts(prompt.input) {
-            true => 0.0,
-            false => options.lane_ms,
+        let lane = match (candidate.lane.accepts(prompt.input), prompt.pauses) {
+            (true, _) => 0.0,
+            (false, None) => options.lane_ms,
+            (false, Some(pauses)) => {
+                let (least, most) = PAUSE_BOUNDS;
+                let relative = 2.0 * pauses.fraction(candidate);
+                let base = match Lane::Short.accepts(prompt.input) {
+                    true => options.own_pause_ms,
+                    false => options.pause_ms,
+                };
+                base * relative.clamp(least, most)
+            }
         };
         (
             wait + reprefill + zone + lane + interference + prefill_delay + memory,
--- a/crates/balance/src/speed.rs
+++ b/crates/balance/src/speed.rs
@@ -11,7 +11,7 @@
 /// other work for long.
 const TIME_CONSTANT: Millis = Millis::new(15_000);
 /// Weight of the typical line, in answers, at no tokens and at [`PRIOR_TOKENS`] each.
-const PRIOR_ANSWERS: f64 = 3.0;
+const PRIOR_ANSWERS: f64 = 6.0;
 /// Size of a prompt at which the typical line is weighted: one prefill step or two.
 const PRIOR_TOKENS: f64 = 4_000.0;
 /// A single answer counts as at most this many times as slow or as fast as expected: prompts whose
--- a/crates/gateway/benches/choose.rs
+++ b/crates/gateway/benches/choose.rs
@@ -49,6 +49,7 @@
     let required = Requirements {
         service: &service,
         connections: 100,
+        pauses: None,
         tried: &[],
         may_probe: true,
         may_ask: true,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -70,6 +70,10 @@
     pub timeout: Millis,
     /// Latency objective of the response.
     pub objective: Millis,
+    /// Longest pause between two events with which a stream is on time; `None` if pauses do not
+    /// matter.
+    #[serde(default)]
+    pub longest_pause: Option<Millis>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Services that get the requests. Invariant: not empty, and the sum of the weights is above
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,10 +13,11 @@
 use crate::{
     affinity::PrefixDemand,
     call::{PartId, Prompt, PromptPart, PromptSize},
-    choose::{self, Candidate, Choice, Lane, PromptInput},
+    choose::{self, Candidate, Choice, Lane, Pauses, PromptInput},
     conn::Pool,
     decay::DecayingSum,
     group::ServiceTargets,
+    lane::{self, EngineCapacity, LanePlan},
     limit::TargetLimit,
     member::{Record, TargetIncarnation, TargetState},
     port::StatedLimit,
@@ -45,6 +46,10 @@
 /// How alike the targets of a service are assumed to be in their share of the prompts: the weight
 /// of the average, in requests, against the requests that an entry has sent to one target.
 const PREFILL_PRIOR_REQUESTS: f64 = 4.0;
+/// Time after which longer pauses replace shorter ones that no stream has asked for.
+const PAUSES_TTL: Millis = Millis::MINUTE;
+/// Time between two checks of the size of lanes.
+const LANE_CHECK_INTERVAL: Millis = Millis::new(1_000);
 /// Weight of a new sample in the average of slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Without new samples, slowness moves halfway back to 1 in this time.
@@ -147,6 +152,24 @@
     held_tokens: u64,
     /// Number of these requests.
     holders: u64,
+    lanes: LanePlan,
+    lanes_checked_at: Millis,
+    /// The shortest pauses that matter to streams of short prompts, and when one asked for them.
+    pauses: Option<(Pauses, Millis)>,
+}
+
+impl ServiceProfile {
+    /// Records the pauses of a stream of a short prompt. Returns true if none mattered before.
+    fn record_pauses(&mut self, pauses: Pauses, now: Millis) -> bool {
+        let known = self.pauses;
+        let is_current = known.is_some_and(|(known, at)| {
+            known.longest < pauses.longest && now.saturating_sub(at) < PAUSES_TTL
+        });
+        if !is_current {
+            self.pauses = Some((pauses, now));
+        }
+        known.is_none()
+    }
 }
 
 /// A target and its state.
@@ -292,6 +315,8 @@
     pub service: &'a ServiceId,
     /// Connections that this entry may have open to one target.
     pub connections: u32,
+    /// The pauses that matter to the caller, if any do.
+    pub pauses: Option<Pauses>,
     /// Targets that were tried before.
     pub tried: &'a [TargetId],
     /// The request may be sent again if the target fails it, so that it can probe an ejected one.
@@ -391,15 +416,27 @@
     }
 
     fn assign_lanes(&mut self) {
-        let mut groups: BTreeMap<(ServiceId, AvailabilityZone), Vec<TargetId>> = BTreeMap::new();
+        let mut services: BTreeMap<ServiceId, BTreeMap<AvailabilityZone, Vec<TargetId>>> =
+            BTreeMap::new();
         let ready = self.targets.values().map(|target| &target.record);
         for record in ready.filter(|record| record.state == TargetState::Ready) {
-            let group = (record.service.clone(), record.zone.clone());
-            groups.entry(group).or_default().push(record.id.clone());
+            let zones = services.entry(record.service.clone()).or_default();
+            let zone = zones.entry(record.zone.clone()).or_default();
+            zone.push(record.id.clone());
         }
-        for ids in groups.values() {
-            let names: Vec<&str> = ids.iter().map(TargetId::as_str).collect();
-            for (id, lane) in ids.iter().zip(choose::lanes(&names)) {
+        for (service, zones) in &services {
+            let names = zones.values().map(|ids| {
+                let names = ids.iter().map(TargetId::as_str);
+                names.collect::<Vec<&str>>()
+            });
+            let names: Vec<Vec<&str>> = names.collect();
+            let profile = self.profiles.get(service);
+            let lanes = match profile.filter(|profile| profile.pauses.is_some()) {
+                Some(profile) => lane::sized_lanes(&names, profile.lanes.size()),
+                None => names.iter().map(|names| lane::lanes(names)).collect(),
+            };
+            let ids = zones.values().flatten();
+            for (id, lane) in ids.zip(lanes.into_iter().flatten()) {
                 if let Some(target) = self.targets.get_mut(id) {
                     target.lane = lane;
                 }
@@ -446,8 +483,15 @@
         }
     }
 
-    /// Records that a target holds a request of this size in its memory.
-    pub fn hold_memory(&mut self, id: &TargetId, size: PromptSize) {
+    /// Records that a target gets a request of this size, of which it has to prefill `uncached`
+    /// tokens.
+    pub fn start_generation(
+        &mut self,
+        id: &TargetId,
+        size: PromptSize,
+        uncached: u64,
+        now: Millis,
+    ) {
         let tokens = size.total().get();
         let Some(target) = self.targets.get_mut(id) else {
             return;
@@ -457,10 +501,17 @@
         let profile = profile.or_default();
         profile.held_tokens += tokens;
         profile.holders += 1;
+        profile.lanes.start(size, uncached, now);
     }
 
-    /// Records that a target no longer holds a request of this size, which was sent to `service`.
-    pub fn release_memory(&mut self, service: &ServiceId, id: &TargetId, size: PromptSize) {
+    /// Records the end of a request of this size, which was sent to a target of `service`.
+    pub fn end_generation(
+        &mut self,
+        service: &ServiceId,
+        id: &TargetId,
+        size: PromptSize,
+        now: Millis,
+    ) {
         let tokens = size.total().get();
         if let Some(target) = self.targets.get_mut(id) {
             target.held_tokens = target.held_tokens.saturating_sub(tokens);
@@ -469,6 +520,7 @@
         if let Some(profile) = self.profiles.get_mut(service) {
             profile.held_tokens = profile.held_tokens.saturating_sub(tokens);
             profile.holders = profile.holders.saturating_sub(1);
+            profile.lanes.end(size, now);
         }
     }
 
@@ -506,6 +558,7 @@
         now: Millis,
     ) -> Option<(TargetId, Choice)> {
         let shared = prompt.map_or(&[][..], Prompt::shared);
+        let pauses = prompt.and_then(|prompt| self.update_lanes(required, prompt, now));
         let typical = self.typical_speed(required.service, now);
         let preferred = self.preferred_count(prompt, shared, typical, now);
         let service = self.services.get(required.service)?;
@@ -545,12 +598,61 @@
         let input = prompt.map(|prompt| PromptInput {
             input: prompt.input.get(),
             shared,
+            pauses,
         });
         let choice = choose::choose(&candidates, input, &self.options)?;
         let (id, _) = considered.targets[choice.index];
         Some((id.clone(), choice))
     }
 
+    /// Adapts the lanes of a service where pauses matter. Returns the pauses that a prompt has to
+    /// heed if it uses the other lane.
+    fn update_lanes(
+        &mut self,
+        required: &Requirements<'_>,
+        prompt: &Prompt,
+        now: Millis,
+    ) -> Option<Pauses> {
+        let is_short = Lane::Short.accepts(prompt.input.get());
+        let own = required.pauses.filter(|_| is_short);
+        if own.is_none() && !self.profiles.contains_key(required.service) {
+            return None;
+        }
+        let speed = self.typical_speed(required.service, now);
+        let slots = self.slots(required.service);
+        let profile = self.profiles.entry(required.service.clone()).or_default();
+        let mut is_changed = own.is_some_and(|own| profile.record_pauses(own, now));
+        let (pauses, _) = profile.pauses?;
+        if now.saturating_sub(profile.lanes_checked_at) >= LANE_CHECK_INTERVAL {
+            profile.lanes_checked_at = now;
+            let before = profile.lanes.size();
+            if profile.lanes.update(EngineCapacity { speed, slots }, now) {
+                is_changed = true;
+                spdlog::info!("lanes_resized", kv: {
+                    service = required.service.as_str(),
+                    before = before.to_string(),
+                    after = profile.lanes.size().to_string(),
+                });
+            }
+        }
+        if is_changed {
+            self.assign_lanes();
+            self.assign_services();
+        }
+        match is_short {
+            true => own,
+            false => Some(pauses),
+        }
+    }
+
+    /// Requests that a target of a service runs concurrently.
+    fn slots(&self, service: &ServiceId) -> u32 {
+        let targets = self.services.get(service);
+        let first = targets.and_then(ServiceTargets::first);
+        let target = first.and_then(|id| self.targets.get(id));
+        target.map_or(1, |target| target.record.slots)
+    }
+
     /// Records the demand for the prefix of a prompt, and returns the number of its preferred
     /// targets.
     fn preferred_count(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,5 +32,5 @@
 pub mod store_health;
 pub mod stream;
 
-pub use cyc_balance::{affinity, choose, decay, group, speed};
+pub use cyc_balance::{affinity, choose, decay, group, lane, speed};
 pub use daemon::{Settings, run};
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -13,7 +13,7 @@
 use super::{AdmittedRequest, Bill, RETRY_AFTER_REFUSED_PROMPT, RequestLog, retry_after};
 use crate::{
     call::{Call, Prompt, PromptPart, PromptSize},
-    choose::Choice,
+    choose::{Choice, Pauses},
     config::{RouteKind, Service},
     conn::{Conn, Pool},
     control::{self, BrokenAnswer},
@@ -77,7 +77,7 @@
         fleet.start_attempt(&target, choice.uncached, now);
         let size = call.prompt.as_ref().map(Prompt::size);
         if let Some(size) = size {
-            fleet.hold_memory(&target, size);
+            fleet.start_generation(&target, size, choice.uncached, now);
         }
         drop(fleet);
         Self {
@@ -169,7 +169,7 @@
         let now = self.state.now();
         let mut fleet = self.state.fleet.borrow_mut();
         if let Some(size) = self.size {
-            fleet.release_memory(&self.service, &self.target, size);
+            fleet.end_generation(&self.service, &self.target, size, now);
         }
         let is_ejected = fleet.end_attempt(&self.target, self.pending_tokens, self.verdict, now);
         drop(fleet);
@@ -422,6 +422,7 @@
         let required = Requirements {
             service: &self.service,
             connections: connection_limit(service, entries),
+            pauses: self.pauses(service),
             tried: &self.tried,
             may_probe: true,
             may_ask,
@@ -429,6 +430,16 @@
         fleet.choose(&required, prompt, self.state.now())
     }
 
+    /// The pauses that matter to the caller, if the answer is a stream.
+    fn pauses(&self, service: Option<&Service>) -> Option<Pauses> {
+        let route = &self.request.route;
+        let longest = route.longest_pause.filter(|_| route.kind.is_stream())?;
+        Some(Pauses {
+            longest,
+            tokens_per_event: service.map_or(1, |service| service.tokens_per_event),
+        })
+    }
+
     fn log_failure(&self, target: &TargetId, error: &AttemptError) {
         let (outcome, reason) = match error {
             AttemptError::NotSent(reason) => ("not_sent", reason.as_str()),
--- a/crates/gateway/tests/gateway/config.rs
+++ b/crates/gateway/tests/gateway/config.rs
@@ -16,6 +16,7 @@
         kind: RouteKind::Idempotent,
         timeout: Millis::new(1_000),
         objective: Millis::new(300),
+        longest_pause: None,
         priority: 1,
         splits: splits.iter().map(split).collect(),
         attempts: 2,
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -29,6 +29,7 @@
     Requirements {
         service,
         connections: 8,
+        pauses: None,
         tried,
         may_probe: true,
         may_ask: true,
@@ -284,13 +285,13 @@
     };
     let first = found(&mut fleet);
     for _ in 0..4 {
-        fleet.hold_memory(&first, prompt.size());
+        fleet.start_generation(&first, prompt.size(), 0, Millis::ZERO);
     }
     expect_that!(found(&mut fleet), eq(&first));
     fleet.set_memory(&service(), Some(Tokens::new(46_000)));
     expect_that!(found(&mut fleet), not(eq(&first)));
     for _ in 0..4 {
-        fleet.release_memory(&service(), &first, prompt.size());
+        fleet.end_generation(&service(), &first, prompt.size(), Millis::ZERO);
     }
     expect_that!(found(&mut fleet), eq(&first));
 }
--- a/crates/gateway/tests/gateway/group.rs
+++ b/crates/gateway/tests/gateway/group.rs
@@ -156,6 +156,7 @@
         let required = Requirements {
             service: &service,
             connections: 8,
+            pauses: None,
             tried: &[],
             may_probe: true,
             may_ask: true,
@@ -305,6 +306,7 @@
         let required = Requirements {
             service: &service,
             connections: 8,
+            pauses: None,
             tried: &[],
             may_probe: true,
             may_ask: true,
@@ -338,6 +340,7 @@
     let required = Requirements {
         service: &service,
         connections: 8,
+        pauses: None,
         tried: &tried,
         may_probe: true,
         may_ask: true,
@@ -357,6 +360,7 @@
         let required = Requirements {
             service: &service,
             connections: 100,
+            pauses: None,
             tried: &[],
             may_probe: true,
             may_ask: true,
@@ -384,6 +388,7 @@
     let required = Requirements {
         service: &service,
         connections: 100,
+        pauses: None,
         tried: &[],
         may_probe: true,
         may_ask: true,
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -7,12 +7,12 @@
 
 use cyc_gateway::{
     call::Prompt,
-    choose::{Choice, Options},
+    choose::{Choice, Options, Pauses},
     fleet::{FinishedPrefill, Fleet, LOAD_REPORT_TTL, Load, Requirements, Verdict},
     member::{Record, TargetState},
     retry_budget::{self, RetryBudget},
 };
-use cyc_types::{AvailabilityZone, Millis, ServiceId, TargetId, VmId};
+use cyc_types::{AvailabilityZone, Millis, ServiceId, TargetId, Tokens, VmId};
 use strum::{Display, EnumIter, EnumString};
 
 use crate::scenario::Scenario;
@@ -118,6 +118,8 @@
         let vm: VmId = id(&format!("entry-{index}"));
         let mut fleet = Fleet::new(zone(scenario, index), options).with_entry(&vm);
         fleet.set_entries(scenario.entries);
+        let memory = Tokens::new(scenario.engines.memory_tokens);
+        fleet.set_memory(&Service::Engines.id(), Some(memory));
         let records = records(scenario);
         fleet.set_targets(records.iter(), Millis::ZERO);
         let targets = records
@@ -149,6 +151,7 @@
         &mut self,
         service: Service,
         prompt: Option<&Prompt>,
+        pauses: Option<Pauses>,
         tried: &[usize],
         now: Millis,
     ) -> Option<(usize, Choice)> {
@@ -179,6 +182,7 @@
                 let required = Requirements {
                     service: &service,
                     connections: u32::MAX,
+                    pauses: pauses.filter(|_| self.policy == Policy::Product),
                     tried: &tried,
                     may_probe: true,
                     may_ask: true,
@@ -198,10 +202,20 @@
     }
 
     /// Records the start of an attempt at a target.
-    pub fn start_attempt(&mut self, target: usize, uncached: u64, now: Millis) {
+    pub fn start_attempt(
+        &mut self,
+        target: usize,
+        prompt: Option<&Prompt>,
+        uncached: u64,
+        now: Millis,
+    ) {
         let view = &mut self.targets[target];
         view.in_flight += 1;
         self.fleet.start_attempt(&view.id, uncached, now);
+        if let Some(prompt) = prompt {
+            self.fleet
+                .start_generation(&view.id, prompt.size(), uncached, now);
+        }
     }
 
     /// Records the first piece of an answer and the load reported with it.
@@ -222,12 +236,18 @@
     pub fn end_attempt(
         &mut self,
         target: usize,
+        prompt: Option<&Prompt>,
         pending_tokens: u64,
         verdict: Verdict,
         now: Millis,
     ) {
         let view = &mut self.targets[target];
         view.in_flight = view.in_flight.saturating_sub(1);
+        if let Some(prompt) = prompt {
+            let service = view.service.id();
+            self.fleet
+                .end_generation(&service, &view.id, prompt.size(), now);
+        }
         self.fleet
             .end_attempt(&view.id, pending_tokens, verdict, now);
     }
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use cyc_gateway::{
-    choose::Choice,
+    choose::{Choice, Pauses},
     fleet::{FinishedPrefill, Load, Verdict},
     proxy::{MAX_CONNECTS, RETRY_AFTER_TARGET},
 };
@@ -208,11 +208,16 @@
         let details = &self.requests[request];
         let entry = &mut self.entries[details.entry];
         let tried = &self.progress[request].tried;
-        let chosen = entry.choose(service, details.prompt.as_ref(), tried, now);
+        let pauses = Pauses {
+            longest: self.scenario.kinds[details.kind].pause,
+            tokens_per_event: self.scenario.engines.tokens_per_event as u32,
+        };
+        let prompt = details.prompt.as_ref();
+        let chosen = entry.choose(service, prompt, Some(pauses), tried, now);
         let Some((target, choice)) = chosen else {
             return self.refuse(request);
         };
-        entry.start_attempt(target, choice.uncached, now);
+        entry.start_attempt(target, prompt, choice.uncached, now);
         if tried.is_empty() {
             entry.record_first_attempt(service, now);
         }
@@ -371,8 +376,10 @@
             true => 0,
             false => state.choice.uncached,
         };
-        let entry = self.requests[state.request].entry;
-        self.entries[entry].end_attempt(state.target, pending_tokens, verdict, now);
+        let details = &self.requests[state.request];
+        let prompt = details.prompt.as_ref();
+        let entry = &mut self.entries[details.entry];
+        entry.end_attempt(state.target, prompt, pending_tokens, verdict, now);
         self.progress[state.request].attempt = None;
         Some(state.request)
     }
--- a/crates/relay/tests/relay/calls.rs
+++ b/crates/relay/tests/relay/calls.rs
@@ -76,6 +76,7 @@
         kind: RouteKind::ResumableStream,
         timeout: Millis::new(8_000),
         objective: Millis::new(1_200),
+        longest_pause: Some(Millis::new(400)),
         priority: 1,
         splits: vec![Split {
             service: "writer".parse().unwrap(),
