Of two registrations with one address, use only the newer target

Cause: after a loss of power the registrations of the ended targets outlive them by some seconds, and their successors register at the same addresses. Change: TargetList::current_records leaves out a target if another one with a later start is registered at its address. The line target_replaced names both. Ruled out: stale reads. The lists were as new as the store's; the store itself has both.

--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -108,8 +108,18 @@
             outcome = outcome.to_string(),
             version = version.get(),
         });
+        if *outcome == Outcome::Started {
+            log_replaced(state, id);
+        }
     }
     if is_changed {
         state.refresh_fleet();
     }
 }
+
+/// Logs the targets whose address a started one has taken over.
+fn log_replaced<P>(state: &State<P>, id: &TargetId) {
+    for old in state.targets.borrow().replaced_by(id) {
+        spdlog::info!("target_replaced", kv: { target = old.as_str(), by = id.as_str() });
+    }
+}
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -1,10 +1,16 @@
 //! The list of registered targets, built from the store's list and its changes.
 //!
+//! An address belongs to one target at a time. A target that crashed stays registered for some seconds,
+//! while its successor at the same address has registered already; only the newer one is used.
+//!
 //! A target that disappears during an outage of the store may only have been unable to renew its
 //! registration. Such removals are delayed by [`LAPSE_HOLD`], and cancelled if the registration
 //! returns.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
 
 use cyc_types::{AvailabilityZone, Millis, ServiceId, TargetId};
 use serde::{Deserialize, Serialize};
@@ -128,6 +134,32 @@
         self.records.values()
     }
 
+    /// The registered targets without those that another one has replaced at their address.
+    pub fn current_records(&self) -> impl Iterator<Item = &Record> {
+        let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
+        for record in self.records.values() {
+            let started_at = newest.entry(record.addr).or_default();
+            *started_at = (*started_at).max(record.started_at.unwrap_or_default());
+        }
+        self.records.values().filter(move |record| {
+            let is_newest = |started_at| newest.get(&record.addr) == Some(&started_at);
+            record.started_at.is_none_or(is_newest)
+        })
+    }
+
+    /// The targets that a registered one has replaced at its address.
+    pub fn replaced_by(&self, id: &TargetId) -> Vec<TargetId> {
+        let Some(new) = self.records.get(id) else {
+            return Vec::new();
+        };
+        let is_older = |old: &&Record| {
+            let starts = old.started_at.zip(new.started_at);
+            old.addr == new.addr && starts.is_some_and(|(old, new)| old < new)
+        };
+        let older = self.records.values().filter(is_older);
+        older.map(|record| record.id.clone()).collect()
+    }
+
     /// Records the end of an outage of the store.
     pub fn store_returned(&mut self, now: Millis) {
         self.store_returned_at = Some(now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -261,6 +261,6 @@
         let targets = self.targets.borrow();
         self.fleet
             .borrow_mut()
-            .set_targets(targets.records(), self.now());
+            .set_targets(targets.current_records(), self.now());
     }
 }
--- a/crates/gateway/tests/gateway/member.rs
+++ b/crates/gateway/tests/gateway/member.rs
@@ -109,3 +109,38 @@
     targets.replace(vec![ready("i-2")], Millis::new(10));
     expect_that!(names(&targets), elements_are![eq(&"i-2")]);
 }
+
+/// After a loss of power the registrations of the ended targets outlive them by some seconds. Requests
+/// sent by them reach the successors at the same addresses, which refuse them.
+#[gtest]
+fn of_two_registrations_with_one_address_only_the_newer_target_is_used() {
+    let now = Millis::new(1_000);
+    let at = |id: &str, started_at: Option<u64>, addr: &str| {
+        Change::Updated(Record {
+            started_at,
+            addr: addr.parse().unwrap(),
+            ..record(id, 1, TargetState::Ready)
+        })
+    };
+    let current = |targets: &TargetList| -> Vec<String> {
+        let records = targets.current_records();
+        records.map(|record| record.id.to_string()).collect()
+    };
+    let mut targets = TargetList::new();
+    targets.apply(at("i-new", Some(2_000), "10.0.0.1:80"), now);
+    targets.apply(at("i-old", Some(1_000), "10.0.0.1:80"), now);
+    targets.apply(at("i-other", Some(500), "10.0.0.2:80"), now);
+    targets.apply(at("i-unknown", None, "10.0.0.2:80"), now);
+    expect_that!(
+        current(&targets),
+        unordered_elements_are![eq("i-new"), eq("i-other"), eq("i-unknown")]
+    );
+    expect_that!(
+        targets.replaced_by(&id("i-new")),
+        elements_are![eq(&id("i-old"))]
+    );
+    expect_that!(targets.replaced_by(&id("i-old")), is_empty());
+
+    targets.apply(Change::Removed(id("i-new")), now);
+    expect_that!(current(&targets), contains(eq("i-old")));
+}
