Limit the requests to cold targets over all entries

Targets that have just started crash at their usual rate. A target that is ejected, returned from an ejection or was restarted counts as cold. Warm targets go first while one of them has room.

The end of the coldness is its own: neither an answer nor a word of another entry without a limit ends it. At the granting entry the lower of both limits counts, and 250 ms of it can be saved (500 ms for named limits).

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use cyc_types::{ByteSize, ClientAccountId, ErrorKind, Millis, Revision, ServiceId, Tokens};
+use cyc_types::{
+    ByteSize, ClientAccountId, ErrorKind, Millis, PerSecond, Revision, ServiceId, Tokens,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use strum::{Display, EnumString, IntoStaticStr};
@@ -96,8 +98,17 @@
     }
 }
 
+/// How targets of a service that have just started take requests.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// How long a target is cold after its start.
+    pub time: Millis,
+    /// Requests a second that a cold target takes from all entries together.
+    pub rate: PerSecond,
+}
+
 /// Configuration of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one target accepts from all entries together.
     pub max_connections: u32,
@@ -105,6 +116,9 @@
     pub batch: Option<u32>,
     /// Output tokens per event of a stream.
     pub tokens_per_event: u32,
+    /// `None` if targets take their usual load from the start.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A client account.
@@ -180,7 +194,7 @@
 }
 
 /// One revision of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "Parts", into = "Parts")]
 pub struct Configuration {
     /// Revision number; only increases.
@@ -275,6 +289,12 @@
         self.services.get(id)
     }
 
+    /// The services whose targets start cold.
+    pub fn cold_starts(&self) -> impl Iterator<Item = (&ServiceId, ColdStart)> {
+        let services = self.services.iter();
+        services.filter_map(|(id, service)| Some((id, service.cold_start?)))
+    }
+
     /// All client accounts, in the order in which they were added.
     pub fn accounts(&self) -> &[Arc<Account>] {
         &self.accounts
--- a/crates/gateway/src/control/config.rs
+++ b/crates/gateway/src/control/config.rs
@@ -71,6 +71,9 @@
         previous = current.map_or(0, |revision| revision.get()),
         accounts = config.accounts().len(),
     });
+    let mut fleet = state.fleet.borrow_mut();
+    fleet.set_cold_starts(config.cold_starts());
+    drop(fleet);
     *state.config.borrow_mut() = Some(Rc::new(config));
     state.draw_requested.notify_one();
     state.allocations_changed.notify_waiters();
--- a/crates/gateway/src/control/grants.rs
+++ b/crates/gateway/src/control/grants.rs
@@ -9,11 +9,11 @@
 
 use super::peer_call::{self, GRANT_PATH};
 use crate::{
-    limit::{GrantReply, GrantRequest, LimitWord, is_settled},
+    limit::{ColdWord, GrantReply, GrantRequest, LimitWord, is_settled},
     member::TargetIncarnation,
     peers::Contact,
     port::Protocol,
-    state::State,
+    state::{ColdSource, State},
 };
 
 /// Timeout of asking for a grant: a round trip between regions.
@@ -71,20 +71,32 @@
     let now = state.now();
     let asked = {
         let mut fleet = state.fleet.borrow_mut();
+        let cold = fleet.cold(id, now);
+        let is_limited = cold.is_some() || fleet.limit_mut(id).is_some();
         let target = fleet.get(id).map(|target| target.record.incarnation());
-        let word = fleet.limit_mut(id).map(|limit| limit.word(now));
-        target.zip(word)
+        let known = target.zip(fleet.limit_word(id, now));
+        known
+            .filter(|_| is_limited)
+            .map(|(target, word)| (target, word, cold))
     };
-    let Some((target, word)) = asked else {
+    let Some((target, word, cold)) = asked else {
         return true;
     };
     let reply = match granting_entry(state, id) {
-        GrantingEntry::Own => Some(grant(state, &target, word)),
-        GrantingEntry::Other(contact) => ask(state, &contact, &target, word).await,
+        GrantingEntry::Own => Some(grant(state, &target, word, cold)),
+        GrantingEntry::Other(contact) => ask(state, &contact, &target, word, cold).await,
         GrantingEntry::Unreachable => None,
         GrantingEntry::Unknown => Some(GrantReply::Denied(STARTUP_DENIAL)),
     };
     let is_granted = apply(state, id, reply);
+    if cold.is_some() {
+        let outcome = if is_granted {
+            cyc_obs::names::COLD_GRANTS
+        } else {
+            cyc_obs::names::COLD_DENIALS
+        };
+        state.metrics.incr(outcome).ok();
+    }
     if !is_granted {
         state.metrics.incr(cyc_obs::names::LIMIT_DENIALS).ok();
     }
@@ -104,20 +116,25 @@
             true
         }
         Some(GrantReply::Denied(time)) => {
-            if let Some(limit) = fleet.limit_mut(id) {
+            if let Some(limit) = fleet.pace_mut(id, now) {
                 limit.deny(time, now);
             }
             false
         }
         None => {
-            let limit = fleet.limit_mut(id);
+            let limit = fleet.pace_mut(id, now);
             limit.is_none_or(|limit| limit.take_turn(entries, rand::random(), now))
         }
     }
 }
 
 /// Decides about a request as the granting entry.
-fn grant<P>(state: &State<P>, target: &TargetIncarnation, word: LimitWord) -> GrantReply {
+fn grant<P>(
+    state: &State<P>,
+    target: &TargetIncarnation,
+    word: LimitWord,
+    cold: Option<ColdWord>,
+) -> GrantReply {
     if state.is_stopping() {
         return GrantReply::Denied(SHUTDOWN_DENIAL);
     }
@@ -126,6 +143,9 @@
     let is_settled =
         peers.is_assigned(grant_key(&target.id)) && is_settled(peers.changed_at(), now);
     let mut grantor = state.grantor.borrow_mut();
+    if let Some(cold) = cold {
+        grantor.learn_cold(target, cold, now);
+    }
     grantor.request(target, word, is_settled, now)
 }
 
@@ -134,12 +154,14 @@
     contact: &Contact,
     target: &TargetIncarnation,
     word: LimitWord,
+    cold: Option<ColdWord>,
 ) -> Option<GrantReply> {
     let request = GrantRequest {
         key: contact.key.clone(),
         target: target.clone(),
         word,
         is_asking: true,
+        cold,
     };
     let reply = peer_call::call(state, contact.addr, GRANT_PATH, &request, GRANT_TIMEOUT).await;
     let outcome = match &reply {
@@ -163,7 +185,11 @@
 /// Answers another entry that asks for a grant or reports a limit.
 pub fn handle_grant<P>(state: &State<P>, request: &GrantRequest) -> GrantReply {
     if request.is_asking {
-        return grant(state, &request.target, request.word);
+        if let Some(cold) = request.cold {
+            // This entry's own requests count as well, even if it learns of the coldness only here.
+            state.mark_cold(&request.target, cold.left, ColdSource::Entry);
+        }
+        return grant(state, &request.target, request.word, request.cold);
     }
     let mut grantor = state.grantor.borrow_mut();
     grantor.report(&request.target, request.word, state.now());
@@ -191,6 +217,7 @@
                         target,
                         word,
                         is_asking: false,
+                        cold: None,
                     };
                     let reported: Result<GrantReply, _> =
                         peer_call::call(&state, contact.addr, GRANT_PATH, &request, GRANT_TIMEOUT)
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -7,9 +7,9 @@
 
 use super::{RetryDelay, WATCH_WAIT};
 use crate::{
-    member::{Change, Outcome},
+    member::{Change, Outcome, TargetIncarnation},
     port::{Protocol, Store, StoreError},
-    state::State,
+    state::{ColdSource, State},
 };
 
 /// Changes within this time are read with one call: each response of the store is billed, and a
@@ -52,8 +52,12 @@
                 let is_list = since.is_none();
                 let has_changes = !changes.is_empty();
                 since = Some(version);
+                let cold = cold_targets(&state, &changes, is_list);
                 let outcomes = apply_changes(&state, changes, is_list);
                 log_and_refresh(&state, &outcomes, version);
+                for (target, left, source) in cold {
+                    state.mark_cold(&target, left, source);
+                }
                 state.targets_loaded.set(true);
                 if has_changes {
                     sleep(COALESCE_WINDOW.duration()).await;
@@ -74,6 +78,41 @@
     }
 }
 
+/// The registrations that say that their targets are cold, or that belong to restarted ones. A list
+/// that repeats a known registration says nothing new: it may have been written long ago.
+fn cold_targets<P>(
+    state: &State<P>,
+    changes: &[Change],
+    is_list: bool,
+) -> Vec<(TargetIncarnation, Millis, ColdSource)> {
+    let targets = state.targets.borrow();
+    let config = state.config.borrow();
+    let cold = changes.iter().filter_map(|change| {
+        let Change::Updated(record) = change else {
+            return None;
+        };
+        let known = targets.get(&record.id);
+        if is_list && known == Some(record) {
+            return None;
+        }
+        let is_restart = known.is_some_and(|known| {
+            known.started_at != record.started_at || known.addr != record.addr
+        });
+        let service = config
+            .as_ref()
+            .and_then(|config| config.service(&record.service));
+        let start = service.and_then(|service| service.cold_start);
+        let start = start.filter(|_| is_restart).map(|start| start.time);
+        let left = record.cold_left.max(start.unwrap_or_default());
+        let source = match is_restart {
+            true => ColdSource::Restart,
+            false => ColdSource::Registration,
+        };
+        (!left.is_zero()).then(|| (record.incarnation(), left, source))
+    });
+    cold.collect()
+}
+
 /// Applies the whole list, or changes of it.
 fn apply_changes<P>(
     state: &State<P>,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,6 +2,7 @@
 //! that are probably cached.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap},
     rc::Rc,
 };
@@ -14,10 +15,11 @@
     affinity::PrefixDemand,
     call::{PartId, Prompt, PromptPart},
     choose::{self, Candidate, Choice, Lane, PromptInput},
+    config::ColdStart,
     conn::Pool,
     decay::DecayingSum,
     group::ServiceTargets,
-    limit::TargetLimit,
+    limit::{ColdWord, Coldness, LimitWord, TargetLimit},
     member::{Record, TargetIncarnation, TargetState},
     port::StatedLimit,
 };
@@ -124,6 +126,8 @@
     limit: Option<TargetLimit>,
     /// When the target last answered without a limit.
     unlimited_at: Millis,
+    /// See [`Fleet::cold`], which also counts an ejected target as cold.
+    cold: Coldness,
     slowness: f64,
     slowness_at: Millis,
     cached: HashMap<PartId, Millis>,
@@ -147,6 +151,7 @@
             load: None,
             limit: None,
             unlimited_at: Millis::ZERO,
+            cold: Coldness::default(),
             slowness: 1.0,
             slowness_at: now,
             cached: HashMap::new(),
@@ -194,6 +199,18 @@
         }
     }
 
+    /// Returns true if the target works and can start one more request at once, as far as this entry
+    /// knows.
+    fn has_room(&self, now: Millis) -> bool {
+        let load = self
+            .load
+            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_REPORT_TTL);
+        let load = load.map_or(Load::default(), |(load, _)| load);
+        self.health.availability(now) == Availability::Available
+            && load.waiting == 0
+            && load.running.max(self.in_flight) < self.record.slots.max(1)
+    }
+
     fn record_cached(&mut self, parts: &[PromptPart], now: Millis) {
         if self.cached.len() + parts.len() > MAX_CACHED_PARTS {
             self.cached
@@ -260,6 +277,8 @@
     targets: BTreeMap<TargetId, Target>,
     /// The ready targets of each service.
     services: HashMap<ServiceId, ServiceTargets>,
+    /// The services whose targets start cold.
+    cold_starts: HashMap<ServiceId, ColdStart>,
     /// Prompts that this entry has sent to the targets of each service, by lane.
     prefill: HashMap<(ServiceId, Lane), Prefill>,
     demand: PrefixDemand,
@@ -276,6 +295,7 @@
             entries: 1,
             targets: BTreeMap::new(),
             services: HashMap::new(),
+            cold_starts: HashMap::new(),
             prefill: HashMap::new(),
             demand: PrefixDemand::default(),
             rng: StdRng::seed_from_u64(0),
@@ -288,12 +308,24 @@
         self
     }
 
+    /// Sets the services whose targets start cold.
+    pub fn set_cold_starts<'a>(
+        &mut self,
+        services: impl Iterator<Item = (&'a ServiceId, ColdStart)>,
+    ) {
+        self.cold_starts = services
+            .map(|(id, cold_start)| (id.clone(), cold_start))
+            .collect();
+    }
+
     /// Replaces the list of targets. The state of a target that was restarted or has a new address
-    /// is discarded.
+    /// is discarded; it counts as cold.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Record>, now: Millis) {
         let mut old = std::mem::take(&mut self.targets);
         for record in records {
-            let same = old.remove(&record.id).filter(|target| {
+            let known = old.remove(&record.id);
+            let was_known = known.is_some();
+            let same = known.filter(|target| {
                 target.record.started_at == record.started_at && target.record.addr == record.addr
             });
             let target = match same {
@@ -301,7 +333,14 @@
                     target.record = record.clone();
                     target
                 }
-                None => Target::new(record.clone(), now),
+                None => {
+                    let mut target = Target::new(record.clone(), now);
+                    let cold_start = self.cold_starts.get(&record.service);
+                    if let Some(cold_start) = cold_start.filter(|_| was_known) {
+                        target.cold.extend(cold_start.time, now);
+                    }
+                    target
+                }
             };
             self.targets.insert(record.id.clone(), target);
         }
@@ -378,16 +417,41 @@
         let shared = prompt.map_or(&[][..], Prompt::shared);
         let preferred = self.preferred_count(prompt, shared, now);
         let service = self.services.get(required.service)?;
-        let considered = service.consider(prompt, preferred, &mut self.rng, |id| {
+        let cold_start = self.cold_starts.get(required.service);
+        let usable = |id: &TargetId| {
             let target = self.targets.get(id)?;
             let is_open = target
                 .limit
                 .is_none_or(|limit| required.may_ask && limit.wait(now).is_zero());
+            let availability = target.health.availability(now);
+            let is_cold = cold_start.is_some()
+                && (availability != Availability::Available || !target.cold.left(now).is_zero());
+            let is_open =
+                is_open && (!is_cold || required.may_ask && target.cold.wait(now).is_zero());
             let is_usable = is_open
                 && !required.tried.contains(id)
                 && target.pool.has_room(required.connections);
-            is_usable.then(|| target.health.availability(now))
+            is_usable.then_some((availability, is_cold))
+        };
+        // Warm targets first: a cold one looks idle and would be preferred by all entries.
+        let has_cold = Cell::new(false);
+        let mut considered = service.consider(prompt, preferred, &mut self.rng, |id| {
+            let (availability, is_cold) = usable(id)?;
+            if is_cold && availability == Availability::Available {
+                has_cold.set(true);
+                return None;
+            }
+            Some(availability)
         });
+        let has_room = |(id, _): &(&TargetId, f64)| {
+            let target = self.targets.get(*id);
+            target.is_some_and(|target| target.has_room(now))
+        };
+        if has_cold.get() && !considered.targets.iter().any(has_room) {
+            considered = service.consider(prompt, preferred, &mut self.rng, |id| {
+                usable(id).map(|(availability, _)| availability)
+            });
+        }
         if required.may_probe
             && let Some(probe) = considered.probe
         {
@@ -554,16 +618,79 @@
         }
     }
 
-    /// Time until a request may be sent to one of the limited targets of a service; `None` if none
-    /// of its targets names a limit.
+    /// Time until a request may be sent to one of the limited or cold targets of a service; `None`
+    /// if there are none.
     pub fn limit_wait(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
         let targets = self.targets.values();
         let of_service = targets.filter(|target| target.record.service == *service);
         of_service
-            .filter_map(|target| Some(target.limit?.wait(now)))
+            .filter_map(|target| {
+                let named = target.limit.map(|limit| limit.wait(now));
+                let cold = self.cold_word(target, now).map(|_| target.cold.wait(now));
+                named.max(cold)
+            })
             .min()
     }
 
+    /// Records that a target stays cold for at least this long, if its service has targets that
+    /// start cold. Returns true if it was not known to be cold.
+    pub fn mark_cold(&mut self, id: &TargetId, left: Millis, now: Millis) -> bool {
+        let Some(target) = self.targets.get_mut(id) else {
+            return false;
+        };
+        self.cold_starts.contains_key(&target.record.service) && target.cold.extend(left, now)
+    }
+
+    /// What this entry knows of a cold target; `None` if it is warm. An ejected target counts as
+    /// cold, because it may be starting and each entry probes it; one that has returned does so for
+    /// the time of a start.
+    pub fn cold(&self, id: &TargetId, now: Millis) -> Option<ColdWord> {
+        self.cold_word(self.targets.get(id)?, now)
+    }
+
+    fn cold_word(&self, target: &Target, now: Millis) -> Option<ColdWord> {
+        let cold_start = self.cold_starts.get(&target.record.service)?;
+        let left = match target.health.availability(now) {
+            Availability::Available => target.cold.left(now),
+            Availability::Probe | Availability::Ejected => {
+                target.cold.left(now).max(cold_start.time)
+            }
+        };
+        (!left.is_zero()).then_some(ColdWord {
+            rate: cold_start.rate,
+            left,
+        })
+    }
+
+    /// The limit that paces the requests to a target: that of its cold time, or the one it names.
+    pub fn pace_mut(&mut self, id: &TargetId, now: Millis) -> Option<&mut TargetLimit> {
+        let cold = self.cold(id, now);
+        let target = self.targets.get_mut(id)?;
+        match cold {
+            Some(cold) => {
+                let named = target.limit.map(|limit| limit.limit());
+                Some(target.cold.pace(cold.rate, named))
+            }
+            None => target.limit.as_mut(),
+        }
+    }
+
+    /// What is known of the limit that a target names, for the granting entry.
+    pub fn limit_word(&self, id: &TargetId, now: Millis) -> Option<LimitWord> {
+        let target = self.targets.get(id)?;
+        let absent = LimitWord {
+            limit: None,
+            age: now.saturating_sub(target.unlimited_at),
+        };
+        Some(target.limit.map_or(absent, |limit| limit.word(now)))
+    }
+
+    /// Returns true if a target gets no requests other than probes.
+    pub fn is_ejected(&self, id: &TargetId, now: Millis) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|target| target.health.availability(now) != Availability::Available)
+    }
+
     /// Records the end of an attempt; `pending_tokens` is what the target has not prefilled.
     /// Returns true if this ejected the target.
     pub fn end_attempt(
@@ -579,6 +706,7 @@
         target.in_flight = target.in_flight.saturating_sub(1);
         target.pending_tokens = target.pending_tokens.saturating_sub(pending_tokens);
         let was_available = target.health.availability(now) == Availability::Available;
+        let cold_start = self.cold_starts.get(&target.record.service);
         match verdict {
             Verdict::Answered => target.health.record_success(now),
             Verdict::Full | Verdict::Abandoned => {}
@@ -590,6 +718,10 @@
             Verdict::Failed => target.health.record_failure(Failure::TargetFailed, now),
             Verdict::Timeout(sent) => target.health.record_failure(Failure::Timeout(sent), now),
         }
-        was_available && target.health.availability(now) != Availability::Available
+        let is_available = target.health.availability(now) == Availability::Available;
+        if let Some(cold_start) = cold_start.filter(|_| is_available && !was_available) {
+            target.cold.extend(cold_start.time, now);
+        }
+        was_available && !is_available
     }
 }
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -24,6 +24,15 @@
 const SETTLING_TIME: Millis = Millis::new(10_000);
 /// Fraction of a limit that all entries together send without grants.
 const UNGRANTED_FRACTION: f64 = 0.4;
+/// Fraction of the rate of a cold target that all entries together send without grants. Lower than
+/// [`UNGRANTED_FRACTION`], because the granting entry may serve the other half of a partition at the
+/// full rate and a cold target crashes at a rate well above.
+const COLD_UNGRANTED_FRACTION: f64 = 0.2;
+/// As [`UNUSED_GRANT_TTL`], for cold targets: the bound counts each second, and the rate of a second,
+/// what was saved, and turns of entries without grants stay below it together.
+const COLD_UNUSED_GRANT_TTL: Millis = Millis::new(250);
+/// Maximum time for which a target counts as cold because of one registration or answer.
+pub const MAX_COLD: Millis = Millis::new(60_000);
 /// Requests that can be granted at once after a time without any: those of this time, but at least
 /// [`MAX_SAVED_GRANTS`].
 const UNUSED_GRANT_TTL: Millis = Millis::new(500);
@@ -56,6 +65,18 @@
     pub word: LimitWord,
     /// False if the sender only reports the word.
     pub is_asking: bool,
+    /// Whether the target is cold, as far as the sender knows.
+    #[serde(default)]
+    pub cold: Option<ColdWord>,
+}
+
+/// What an entry knows of a cold target.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdWord {
+    /// Requests a second that the target takes while it is cold.
+    pub rate: PerSecond,
+    /// How long it stays cold.
+    pub left: Millis,
 }
 
 /// What a target said about its limit.
@@ -85,6 +106,9 @@
     /// The newest word of the target that any entry has reported.
     limit: Option<PerSecond>,
     said_at: Millis,
+    /// The rate of the target while it is cold, and the end of that; other than `limit`, it has no
+    /// end by word of the target.
+    cold: Option<(PerSecond, Millis)>,
     /// Requests that may be granted at `credit_at`.
     credit: f64,
     credit_at: Millis,
@@ -92,6 +116,28 @@
     denied: DecayingSum,
 }
 
+impl Grants {
+    fn new(limit: Option<PerSecond>, said_at: Millis, now: Millis) -> Self {
+        Self {
+            limit,
+            said_at,
+            cold: None,
+            credit: 0.0,
+            credit_at: now,
+            denied: DecayingSum::default(),
+        }
+    }
+
+    fn cold_rate(&self, now: Millis) -> Option<PerSecond> {
+        let cold = self.cold.filter(|(_, until)| *until > now);
+        cold.map(|(rate, _)| rate)
+    }
+
+    fn is_limited(&self, now: Millis) -> bool {
+        self.limit.is_some() || self.cold_rate(now).is_some()
+    }
+}
+
 /// Grants the requests to the limited targets that this entry looks after.
 #[derive(Debug, Default)]
 pub struct Grantor {
@@ -105,7 +151,7 @@
         let limit = word.limit.map(|limit| PerSecond::new(limit.get()));
         if let Some(grants) = self.by_target.get_mut(target) {
             if said_at >= grants.said_at {
-                if grants.limit.is_none() {
+                if !grants.is_limited(now) {
                     grants.credit = 0.0;
                     grants.credit_at = now;
                 }
@@ -114,16 +160,34 @@
             }
             return;
         }
+        self.insert(target, Grants::new(limit, said_at, now));
+    }
+
+    /// Takes over what an entry knows of a cold target. A word never shortens the coldness: an entry
+    /// that has not heard of it yet must not end it.
+    pub fn learn_cold(&mut self, target: &TargetIncarnation, word: ColdWord, now: Millis) {
+        if !self.by_target.contains_key(target) {
+            self.insert(target, Grants::new(None, Millis::ZERO, now));
+        }
+        let Some(grants) = self.by_target.get_mut(target) else {
+            return;
+        };
+        if !grants.is_limited(now) {
+            grants.credit = 0.0;
+            grants.credit_at = now;
+        }
+        let until = now + word.left.min(MAX_COLD);
+        let rate = PerSecond::new(word.rate.get());
+        grants.cold = match grants.cold.filter(|(_, known)| *known > now) {
+            Some((_, known)) => Some((rate, known.max(until))),
+            None => Some((rate, until)),
+        };
+    }
+
+    fn insert(&mut self, target: &TargetIncarnation, grants: Grants) {
         if self.by_target.len() >= MAX_GRANTED_TARGETS {
             self.remove_oldest();
         }
-        let grants = Grants {
-            limit,
-            said_at,
-            credit: 0.0,
-            credit_at: now,
-            denied: DecayingSum::default(),
-        };
         self.by_target.insert(target.clone(), grants);
     }
 
@@ -140,12 +204,17 @@
         let Some(grants) = self.by_target.get_mut(target) else {
             return GrantReply::Denied(MAX_DENIAL);
         };
-        let Some(limit) = grants.limit else {
+        let cold = grants.cold_rate(now);
+        let Some(limit) = lower(grants.limit, cold) else {
             return GrantReply::Unlimited;
         };
         let fraction = if is_settled { 1.0 } else { SETTLING_FRACTION };
         let rate = limit.get().max(MIN_RATE) * fraction;
-        let most = (rate * seconds(UNUSED_GRANT_TTL)).max(MAX_SAVED_GRANTS);
+        let saved = match cold {
+            Some(_) => COLD_UNUSED_GRANT_TTL,
+            None => UNUSED_GRANT_TTL,
+        };
+        let most = (rate * seconds(saved)).max(MAX_SAVED_GRANTS);
         let since = now.saturating_sub(grants.credit_at);
         grants.credit = (grants.credit + rate * seconds(since)).min(most);
         grants.credit_at = now;
@@ -171,6 +240,12 @@
     }
 }
 
+/// The lower one of two limits.
+fn lower(a: Option<PerSecond>, b: Option<PerSecond>) -> Option<PerSecond> {
+    let both = a.into_iter().chain(b);
+    both.min_by(|a, b| a.get().total_cmp(&b.get()))
+}
+
 fn seconds(time: Millis) -> f64 {
     time.get() as f64 / 1_000.0
 }
@@ -190,6 +265,8 @@
     resume_at: Millis,
     /// When this entry may send next without a grant.
     turn: Option<Millis>,
+    /// Fraction of the limit that all entries together send without grants.
+    ungranted_fraction: f64,
 }
 
 impl TargetLimit {
@@ -200,6 +277,7 @@
             said_at,
             resume_at: Millis::ZERO,
             turn: None,
+            ungranted_fraction: UNGRANTED_FRACTION,
         }
     }
 
@@ -241,7 +319,7 @@
     /// a turn from time to time, the first one after `random`, from 0 to 1, of the time between two.
     /// An entry that misses its turn waits for the next one.
     pub fn take_turn(&mut self, entries: usize, random: f64, now: Millis) -> bool {
-        let rate = self.limit.get().max(MIN_RATE) * UNGRANTED_FRACTION / entries.max(1) as f64;
+        let rate = self.limit.get().max(MIN_RATE) * self.ungranted_fraction / entries.max(1) as f64;
         let interval = ((1_000.0 / rate) as u64).max(1);
         let first = now + Millis::new((interval as f64 * random) as u64);
         let turn = *self.turn.get_or_insert(first);
@@ -268,6 +346,55 @@
     }
 }
 
+/// The coldness of a target as one entry applies it: a limit that has its own end, beside the one
+/// that the target may name.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Coldness {
+    until: Millis,
+    limit: TargetLimit,
+}
+
+impl Default for Coldness {
+    fn default() -> Self {
+        let mut limit = TargetLimit::new(PerSecond::new(0.0), Millis::ZERO);
+        limit.ungranted_fraction = COLD_UNGRANTED_FRACTION;
+        Self {
+            until: Millis::ZERO,
+            limit,
+        }
+    }
+}
+
+impl Coldness {
+    /// Records that the target stays cold for at least this long. The coldness is never shortened.
+    /// Returns true if the target was not cold before.
+    pub fn extend(&mut self, left: Millis, now: Millis) -> bool {
+        let was_cold = self.until > now;
+        if !was_cold {
+            *self = Self::default();
+        }
+        self.until = self.until.max(now + left.min(MAX_COLD));
+        !was_cold && self.until > now
+    }
+
+    /// How long the target stays cold; zero if it is not.
+    pub fn left(&self, now: Millis) -> Millis {
+        self.until.saturating_sub(now)
+    }
+
+    /// Time until a request may be sent or a grant asked for; zero if that is now.
+    pub fn wait(&self, now: Millis) -> Millis {
+        self.limit.wait(now)
+    }
+
+    /// The pace of requests to the cold target: the lower one of its rate and the limit that the
+    /// target names.
+    pub fn pace(&mut self, rate: PerSecond, named: Option<PerSecond>) -> &mut TargetLimit {
+        self.limit.limit = lower(Some(rate), named).unwrap_or(rate);
+        &mut self.limit
+    }
+}
+
 /// A limit as entries tell it to each other. Only limits are told, not their ends: an entry learns
 /// the end from the target or from the granting entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -45,6 +45,9 @@
     pub slots: u32,
     /// Whether the target accepts new requests.
     pub state: TargetState,
+    /// How long the target stays cold, counted from when the registration was written.
+    #[serde(default)]
+    pub cold_left: Millis,
 }
 
 /// One run of a target, from its start to its end.
@@ -57,6 +60,16 @@
 }
 
 impl Record {
+    /// Returns true if the registrations differ at most in how long the target stays cold, which
+    /// counts down.
+    fn is_same_but_cold_left(&self, other: &Self) -> bool {
+        let counted_down = Self {
+            cold_left: other.cold_left,
+            ..self.clone()
+        };
+        counted_down == *other
+    }
+
     /// The run of the target that registered.
     pub fn incarnation(&self) -> TargetIncarnation {
         TargetIncarnation {
@@ -128,6 +141,11 @@
         self.records.values()
     }
 
+    /// The registration of a target.
+    pub fn get(&self, id: &TargetId) -> Option<&Record> {
+        self.records.get(id)
+    }
+
     /// Records the end of an outage of the store.
     pub fn store_returned(&mut self, now: Millis) {
         self.store_returned_at = Some(now);
@@ -188,7 +206,7 @@
         let old = self.records.insert(record.id.clone(), record.clone());
         match old {
             None => Outcome::Started,
-            Some(old) if old == record => Outcome::Same,
+            Some(old) if old.is_same_but_cold_left(&record) => Outcome::Same,
             Some(old) if old.started_at != record.started_at || old.addr != record.addr => {
                 Outcome::Started
             }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -65,6 +65,8 @@
     pub load: Option<Load>,
     /// Limit of requests a second that the target names for all entries together.
     pub limit: StatedLimit,
+    /// How long the target stays cold, if it says so.
+    pub cold_left: Option<Millis>,
     /// How long the target keeps an idle connection open.
     pub keep_alive: Option<Millis>,
 }
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -20,7 +20,7 @@
     crash::SOUND_AFTER,
     fleet::{FinishedPrefill, Requirements, Verdict},
     port::{Protocol, ResponseInfo, TargetRequestInfo},
-    state::State,
+    state::{ColdSource, State},
 };
 
 /// A request whose connection fails moves to another target until this many of its attempts have
@@ -149,8 +149,14 @@
     fn drop(&mut self) {
         let now = self.state.now();
         let mut fleet = self.state.fleet.borrow_mut();
+        let was_ejected = fleet.is_ejected(&self.target, now);
         let is_ejected = fleet.end_attempt(&self.target, self.pending_tokens, self.verdict, now);
+        let has_returned = was_ejected && !fleet.is_ejected(&self.target, now);
+        let is_cold = fleet.cold(&self.target, now).is_some();
         drop(fleet);
+        if has_returned && is_cold {
+            self.state.log_cold(&self.target, ColdSource::Ejection);
+        }
         if is_ejected {
             let verdict = format!("{:?}", self.verdict);
             spdlog::warn!("target_ejected", kv: {
@@ -590,6 +596,15 @@
         if is_own && !info.is_misdirected {
             self.state
                 .record_limit(&attempt.target, info.limit, attempt.sent_at);
+            if let Some(left) = info.cold_left {
+                let fleet = self.state.fleet.borrow();
+                let target = fleet.get(&attempt.target);
+                let target = target.map(|target| target.record.incarnation());
+                drop(fleet);
+                if let Some(target) = target {
+                    self.state.mark_cold(&target, left, ColdSource::Answer);
+                }
+            }
         }
         if info.is_misdirected {
             attempt.end(Verdict::NotReached);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,8 +7,10 @@
     rc::Rc,
 };
 
+use cadence::CountedExt as _;
 use cyc_obs::Metrics;
 use cyc_types::{ClientAccountId, Clock, Millis, PerSecond, TargetId, VmId};
+use strum::{Display, IntoStaticStr};
 use tokio::{
     sync::{Notify, watch},
     time::Instant,
@@ -40,6 +42,22 @@
     });
 }
 
+/// How an entry learnt that a target is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ColdSource {
+    /// Its registration says so.
+    Registration,
+    /// It was restarted under its id.
+    Restart,
+    /// It returned after an ejection.
+    Ejection,
+    /// One of its answers says so.
+    Answer,
+    /// Another entry asked for a grant.
+    Entry,
+}
+
 /// The state of one entry.
 pub struct State<P> {
     /// VM of this entry.
@@ -248,6 +266,36 @@
         self.limit_changed.notify_one();
     }
 
+    /// Records that a target stays cold for at least this long.
+    pub fn mark_cold(&self, target: &TargetIncarnation, left: Millis, source: ColdSource) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let known = fleet
+            .get(&target.id)
+            .map(|known| known.record.incarnation());
+        if known.as_ref() != Some(target) {
+            return;
+        }
+        let is_new = fleet.mark_cold(&target.id, left, now);
+        // The fleet itself marks a target that was restarted, before this.
+        let is_restart = source == ColdSource::Restart && fleet.cold(&target.id, now).is_some();
+        drop(fleet);
+        if is_new || is_restart {
+            self.log_cold(&target.id, source);
+        }
+    }
+
+    /// Logs that a target has become cold.
+    pub fn log_cold(&self, target: &TargetId, source: ColdSource) {
+        let left = self.fleet.borrow().cold(target, self.now());
+        spdlog::info!("target_cold", kv: {
+            target = target.as_str(),
+            left_ms = left.map_or(0, |cold| cold.left.get()),
+            source = source.to_string(),
+        });
+        self.metrics.incr(cyc_obs::names::TARGETS_COLD).ok();
+    }
+
     /// Records that a prompt with these shared parts was answered.
     pub fn clear_prompt(&self, parts: &[PromptPart]) {
         let mut knowledge = self.knowledge.borrow_mut();
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -2,6 +2,8 @@
 
 #[path = "gateway/choose.rs"]
 mod choose;
+#[path = "gateway/cold.rs"]
+mod cold;
 #[path = "gateway/config.rs"]
 mod config;
 #[path = "gateway/crash.rs"]
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -18,6 +18,7 @@
         zone: "a".parse().unwrap(),
         slots: 8,
         state,
+        cold_left: Millis::ZERO,
     }
 }
 
--- a/crates/gateway/tests/gateway/group.rs
+++ b/crates/gateway/tests/gateway/group.rs
@@ -37,6 +37,7 @@
         zone: zone.parse().unwrap(),
         slots: 48,
         state: TargetState::Ready,
+        cold_left: Millis::ZERO,
     }
 }
 
--- a/crates/gateway/tests/gateway/limit.rs
+++ b/crates/gateway/tests/gateway/limit.rs
@@ -232,6 +232,7 @@
         zone: "a".parse().unwrap(),
         slots: 8,
         state: TargetState::Ready,
+        cold_left: Millis::ZERO,
     };
     let mut fleet = Fleet::new("a".parse().unwrap(), Default::default());
     fleet.set_targets(std::iter::once(&record), Millis::ZERO);
--- a/crates/gateway/tests/gateway/member.rs
+++ b/crates/gateway/tests/gateway/member.rs
@@ -16,6 +16,7 @@
         zone: "a".parse().unwrap(),
         slots: 8,
         state,
+        cold_left: Millis::ZERO,
     }
 }
 
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -43,3 +43,9 @@
 pub const TARGETS_CRASHED: &str = "targets_crashed";
 /// Counter: requests that were not sent to a target because of the limit that it names.
 pub const LIMIT_DENIALS: &str = "limit_denials";
+/// Counter: targets that became cold, as far as this process knows.
+pub const TARGETS_COLD: &str = "targets_cold";
+/// Counter: requests granted to cold targets.
+pub const COLD_GRANTS: &str = "cold_grants";
+/// Counter: requests that were not sent to a target because it is cold.
+pub const COLD_DENIALS: &str = "cold_denials";
--- a/crates/relay/tests/relay/calls.rs
+++ b/crates/relay/tests/relay/calls.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, future::Future, net::SocketAddr};
 
 use cyc_gateway::{
-    config::{Account, Configuration, Limits, Route, RouteKind, Service, Split},
+    config::{Account, ColdStart, Configuration, Limits, Route, RouteKind, Service, Split},
     member::Change,
     peers::{Heartbeat, Peers},
     port::{Freshness, Store, StoreError, Written},
@@ -11,7 +11,7 @@
 };
 use cyc_obs::Metrics;
 use cyc_relay::{client::RelayClient, paths::StorePaths, serve_entries};
-use cyc_types::{ByteSize, ClientAccountId, Millis, Revision, Tokens, Version, VmId};
+use cyc_types::{ByteSize, ClientAccountId, Millis, PerSecond, Revision, Tokens, Version, VmId};
 use tokio::{
     net::TcpListener,
     sync::oneshot,
@@ -88,6 +88,10 @@
         max_connections: 600,
         batch: Some(128),
         tokens_per_event: 3,
+        cold_start: Some(ColdStart {
+            time: Millis::new(3_000),
+            rate: PerSecond::new(8.3),
+        }),
     };
     let account = |name: &str| Account {
         id: name.parse().unwrap(),
--- a/crates/relay/tests/relay/feed.rs
+++ b/crates/relay/tests/relay/feed.rs
@@ -28,6 +28,7 @@
         zone: "a".parse().unwrap(),
         slots: 8,
         state,
+        cold_left: Millis::ZERO,
     })
 }
 
