Evacuate availability zones on request

Operators ask by an object evacuations/ZONE that nothing more be sent to the targets of a zone. Entries whose settings have bounds.evacuationMs watch the objects, directly or through a relay, which watches them once an entry has asked.

An entry that has just started does not know of ejections and evacuations before its time. It asks the granting entry before it sends to targets that may be cold, for as long as a start lasts.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,6 +2,7 @@
 //! prepaid tokens.
 
 mod config;
+mod evacuations;
 mod grants;
 mod heartbeats;
 mod liveness;
@@ -12,6 +13,7 @@
 mod targets;
 
 pub use config::watch_configuration;
+pub use evacuations::watch_evacuations;
 pub use grants::{acquire_grant, report_limits};
 pub use heartbeats::exchange_heartbeats;
 pub use liveness::{BrokenAnswer, UnansweredPrompt, check_targets};
--- a/crates/gateway/src/control/grants.rs
+++ b/crates/gateway/src/control/grants.rs
@@ -22,6 +22,8 @@
 const UNRESPONSIVE_BACKOFF: Millis = Millis::SECOND;
 /// How long no request is sent to a limited target while the granting entry is not known.
 const STARTUP_DENIAL: Millis = Millis::new(300);
+/// How long a target counts as cold at an entry that learns of a limit only from a denied request.
+const DENIED_COLD_TIME: Millis = Millis::SECOND;
 /// How long a target is not used if this entry stops and another one will grant its requests.
 const SHUTDOWN_DENIAL: Millis = Millis::new(500);
 
@@ -65,35 +67,54 @@
         .is_some_and(|until| *until > Instant::now())
 }
 
-/// Returns true if a request may be sent to a target now. Otherwise the target is not chosen again
-/// before the time at which it may be.
-pub async fn acquire_grant<P>(state: &State<P>, id: &TargetId) -> bool {
-    let now = state.now();
-    let asked = {
+/// What is known of a target that a request is to be sent to.
+struct Asked {
+    target: TargetIncarnation,
+    word: LimitWord,
+    cold: Option<ColdWord>,
+    /// The target is limited or cold as far as this entry knows; otherwise the granting entry is
+    /// asked only because it may know more.
+    is_limited: bool,
+}
+
+impl Asked {
+    /// Returns `None` for a target to which requests can be sent without asking.
+    fn new<P>(state: &State<P>, id: &TargetId) -> Option<Self> {
+        let now = state.now();
         let mut fleet = state.fleet.borrow_mut();
         let cold = fleet.cold(id, now);
         let is_limited = cold.is_some() || fleet.limit_mut(id).is_some();
-        let target = fleet.get(id).map(|target| target.record.incarnation());
-        let known = target.zip(fleet.limit_word(id, now));
-        known
-            .filter(|_| is_limited)
-            .map(|(target, word)| (target, word, cold))
-    };
-    let Some((target, word, cold)) = asked else {
+        if !is_limited && !fleet.may_be_cold(id, now) {
+            return None;
+        }
+        Some(Self {
+            target: fleet.get(id)?.record.incarnation(),
+            word: fleet.limit_word(id, now)?,
+            cold,
+            is_limited,
+        })
+    }
+}
+
+/// Returns true if a request may be sent to a target now. Otherwise the target is not chosen again
+/// before the time at which it may be.
+pub async fn acquire_grant<P>(state: &State<P>, id: &TargetId) -> bool {
+    let Some(asked) = Asked::new(state, id) else {
         return true;
     };
     let reply = match granting_entry(state, id) {
-        GrantingEntry::Own => Some(grant(state, &target, word, cold)),
-        GrantingEntry::Other(contact) => ask(state, &contact, &target, word, cold).await,
+        GrantingEntry::Own => Some(grant(state, &asked.target, asked.word, asked.cold)),
+        GrantingEntry::Other(contact) => ask(state, &contact, &asked).await,
         GrantingEntry::Unreachable => None,
-        GrantingEntry::Unknown => Some(GrantReply::Denied(STARTUP_DENIAL)),
+        GrantingEntry::Unknown => {
+            Some(GrantReply::Denied(STARTUP_DENIAL)).filter(|_| asked.is_limited)
+        }
     };
-    let is_granted = apply(state, id, reply);
-    if cold.is_some() {
-        let outcome = if is_granted {
-            cyc_obs::names::COLD_GRANTS
-        } else {
-            cyc_obs::names::COLD_DENIALS
+    let is_granted = apply(state, &asked, reply);
+    if asked.cold.is_some() {
+        let outcome = match is_granted {
+            true => cyc_obs::names::COLD_GRANTS,
+            false => cyc_obs::names::COLD_DENIALS,
         };
         state.metrics.incr(outcome).ok();
     }
@@ -105,14 +126,20 @@
 
 /// Applies the reply of the granting entry, `None` if it did not answer. Returns true if the request
 /// may be sent.
-fn apply<P>(state: &State<P>, id: &TargetId, reply: Option<GrantReply>) -> bool {
+fn apply<P>(state: &State<P>, asked: &Asked, reply: Option<GrantReply>) -> bool {
     let now = state.now();
     let entries = state.entries();
+    let id = &asked.target.id;
+    if !asked.is_limited && matches!(reply, Some(GrantReply::Denied(_))) {
+        state.mark_cold(&asked.target, DENIED_COLD_TIME, ColdSource::Entry);
+    }
     let mut fleet = state.fleet.borrow_mut();
     match reply {
         Some(GrantReply::Granted) => true,
         Some(GrantReply::Unlimited) => {
-            fleet.remove_limit(id, now);
+            if asked.is_limited {
+                fleet.remove_limit(id, now);
+            }
             true
         }
         Some(GrantReply::Denied(time)) => {
@@ -142,26 +169,24 @@
     let peers = state.peers.borrow();
     let is_settled =
         peers.is_assigned(grant_key(&target.id)) && is_settled(peers.changed_at(), now);
+    let fleet = state.fleet.borrow();
+    let own = fleet.get(&target.id);
+    let own = own.filter(|own| own.record.incarnation() == *target);
+    let own = own.and_then(|_| fleet.cold(&target.id, now));
     let mut grantor = state.grantor.borrow_mut();
-    if let Some(cold) = cold {
+    for cold in cold.into_iter().chain(own) {
         grantor.learn_cold(target, cold, now);
     }
     grantor.request(target, word, is_settled, now)
 }
 
-async fn ask<P>(
-    state: &State<P>,
-    contact: &Contact,
-    target: &TargetIncarnation,
-    word: LimitWord,
-    cold: Option<ColdWord>,
-) -> Option<GrantReply> {
+async fn ask<P>(state: &State<P>, contact: &Contact, asked: &Asked) -> Option<GrantReply> {
     let request = GrantRequest {
         key: contact.key.clone(),
-        target: target.clone(),
-        word,
+        target: asked.target.clone(),
+        word: asked.word,
         is_asking: true,
-        cold,
+        cold: asked.cold,
     };
     let reply = peer_call::call(state, contact.addr, GRANT_PATH, &request, GRANT_TIMEOUT).await;
     let outcome = match &reply {
@@ -169,7 +194,7 @@
         Err(error) => error.to_string(),
     };
     spdlog::debug!("grant_requested", kv: {
-        target = target.id.as_str(),
+        target = asked.target.id.as_str(),
         entry = contact.vm.as_str(),
         outcome = outcome,
     });
--- a/crates/gateway/src/control/liveness.rs
+++ b/crates/gateway/src/control/liveness.rs
@@ -139,8 +139,11 @@
     }
     let pool = {
         let fleet = state.fleet.borrow();
+        let is_evacuated = fleet.is_evacuated(&target.id, state.now());
         let known = fleet.get(&target.id).filter(|known| {
-            known.record.incarnation() == *target && known.record.state == TargetState::Ready
+            !is_evacuated
+                && known.record.incarnation() == *target
+                && known.record.state == TargetState::Ready
         });
         known.map(|known| known.pool.clone())
     };
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, io, net::SocketAddr, rc::Rc};
 
+use cyc_evac::Evacuations;
 use cyc_obs::Metrics;
 use cyc_types::{AvailabilityZone, Millis, VmId};
 use tokio::{
@@ -41,6 +42,9 @@
     pub peers: Option<SocketAddr>,
     /// Retry budget of all entries together.
     pub retry_budget: retry_budget::Options,
+    /// Time within which the load leaves an evacuated zone, counted from the store's
+    /// acknowledgement; without it evacuations are not read.
+    pub evacuation: Option<Millis>,
     /// Time from the shutdown signal until the platform kills the process.
     pub grace: Millis,
 }
@@ -116,6 +120,12 @@
     });
     tokio::task::spawn_local(control::watch_configuration(state.clone(), store.clone()));
     tokio::task::spawn_local(control::watch_targets(state.clone(), store.clone()));
+    if let Some(limit) = settings.evacuation {
+        let mut fleet = state.fleet.borrow_mut();
+        fleet.set_evacuations(Evacuations::new(limit));
+        drop(fleet);
+        tokio::task::spawn_local(control::watch_evacuations(state.clone(), store.clone()));
+    }
     tokio::task::spawn_local(control::exchange_heartbeats(state.clone(), store.clone()));
     tokio::task::spawn_local(control::run_prepaid(state.clone(), store.clone()));
     tokio::task::spawn_local(control::check_targets(state.clone()));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,9 +7,10 @@
     rc::Rc,
 };
 
+use cyc_evac::Evacuations;
 use cyc_route::{Availability, Failure, Health, health};
 use cyc_types::{AvailabilityZone, Millis, PerSecond, ServiceId, TargetId, VmId, hash};
-use rand::{SeedableRng as _, rngs::StdRng};
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
 use crate::{
     affinity::PrefixDemand,
@@ -279,6 +280,10 @@
     services: HashMap<ServiceId, ServiceTargets>,
     /// The services whose targets start cold.
     cold_starts: HashMap<ServiceId, ColdStart>,
+    /// When this entry first read the list of targets.
+    first_list_at: Option<Millis>,
+    /// The zones whose targets get less than their load, or nothing.
+    evacuations: Evacuations,
     /// Prompts that this entry has sent to the targets of each service, by lane.
     prefill: HashMap<(ServiceId, Lane), Prefill>,
     demand: PrefixDemand,
@@ -296,6 +301,8 @@
             targets: BTreeMap::new(),
             services: HashMap::new(),
             cold_starts: HashMap::new(),
+            first_list_at: None,
+            evacuations: Evacuations::default(),
             prefill: HashMap::new(),
             demand: PrefixDemand::default(),
             rng: StdRng::seed_from_u64(0),
@@ -321,6 +328,7 @@
     /// Replaces the list of targets. The state of a target that was restarted or has a new address
     /// is discarded; it counts as cold.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Record>, now: Millis) {
+        self.first_list_at.get_or_insert(now);
         let mut old = std::mem::take(&mut self.targets);
         for record in records {
             let known = old.remove(&record.id);
@@ -406,13 +414,62 @@
         }
     }
 
-    /// Selects a target that has a connection available. Ejected targets are selected only when they
+    /// Sets the evacuated zones.
+    pub fn set_evacuations(&mut self, evacuations: Evacuations) {
+        self.evacuations = evacuations;
+    }
+
+    /// The evacuated zones.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
+    /// Returns true if nothing may be sent to the target, nor any connection opened, because its zone
+    /// is evacuated.
+    pub fn is_evacuated(&self, id: &TargetId, now: Millis) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|target| self.evacuations.is_closed(&target.record.zone, now))
+    }
+
+    /// Records that the targets of a zone may have become cold. Returns the number of targets that
+    /// count as cold because of that.
+    pub fn mark_zone_cold(&mut self, zone: &AvailabilityZone, now: Millis) -> usize {
+        let mut marked = 0;
+        let targets = self.targets.values_mut();
+        for target in targets.filter(|target| target.record.zone == *zone) {
+            if let Some(cold_start) = self.cold_starts.get(&target.record.service) {
+                target.cold.extend(cold_start.time, now);
+                marked += 1;
+            }
+        }
+        marked
+    }
+
+    /// Selects a target that has a connection available. Targets of evacuated zones are never
+    /// selected, and those of a zone whose load leaves or returns for a part of the requests, or if
+    /// there are no others. Ejected targets are selected only when they
     /// are due for a probe that the request can be, or when there are no others.
     pub fn choose(
         &mut self,
         required: &Requirements<'_>,
         prompt: Option<&Prompt>,
         now: Millis,
+    ) -> Option<(TargetId, Choice)> {
+        if self.evacuations.is_empty() {
+            return self.choose_in_zones(required, prompt, 0.0, now);
+        }
+        let draw = self.rng.random();
+        self.choose_in_zones(required, prompt, draw, now)
+            .or_else(|| self.choose_in_zones(required, prompt, 0.0, now))
+    }
+
+    /// Selects a target in the zones whose share of their load is above `draw`, from 0 to 1.
+    fn choose_in_zones(
+        &mut self,
+        required: &Requirements<'_>,
+        prompt: Option<&Prompt>,
+        draw: f64,
+        now: Millis,
     ) -> Option<(TargetId, Choice)> {
         let shared = prompt.map_or(&[][..], Prompt::shared);
         let preferred = self.preferred_count(prompt, shared, now);
@@ -420,6 +477,11 @@
         let cold_start = self.cold_starts.get(required.service);
         let usable = |id: &TargetId| {
             let target = self.targets.get(id)?;
+            if !self.evacuations.is_empty()
+                && self.evacuations.share(&target.record.zone, now) <= draw
+            {
+                return None;
+            }
             let is_open = target
                 .limit
                 .is_none_or(|limit| required.may_ask && limit.wait(now).is_zero());
@@ -622,7 +684,10 @@
     /// if there are none.
     pub fn limit_wait(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
         let targets = self.targets.values();
-        let of_service = targets.filter(|target| target.record.service == *service);
+        let of_service = targets.filter(|target| {
+            target.record.service == *service
+                && !self.evacuations.is_closed(&target.record.zone, now)
+        });
         of_service
             .filter_map(|target| {
                 let named = target.limit.map(|limit| limit.wait(now));
@@ -662,6 +727,16 @@
         })
     }
 
+    /// Returns true if a target may be cold without this entry's knowledge, because the entry started
+    /// shorter ago than targets stay cold after what it has not seen: an ejection, or the end of an
+    /// evacuation. The granting entry knows.
+    pub fn may_be_cold(&self, id: &TargetId, now: Millis) -> bool {
+        let target = self.targets.get(id);
+        let cold_start = target.and_then(|target| self.cold_starts.get(&target.record.service));
+        let since = self.first_list_at.map(|at| now.saturating_sub(at));
+        cold_start.is_some_and(|cold_start| since.is_some_and(|since| since < cold_start.time))
+    }
+
     /// The limit that paces the requests to a target: that of its cold time, or the one it names.
     pub fn pace_mut(&mut self, id: &TargetId, now: Millis) -> Option<&mut TargetLimit> {
         let cold = self.cold(id, now);
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -137,7 +137,7 @@
     SecondsOld,
 }
 
-/// The store: configuration, list of targets, heartbeats of entries, and records of prepaid tokens.
+/// The store: configuration, list of targets, evacuations, heartbeats of entries, and records of prepaid tokens.
 #[allow(
     async_fn_in_trait,
     reason = "an entry runs on one thread, so futures need not be Send"
@@ -163,6 +163,16 @@
         wait: Millis,
     ) -> Result<(Vec<Change>, Version), StoreError>;
 
+    /// Reads the requested evacuations and the store's version.
+    async fn evacuations(&self) -> Result<(Vec<cyc_evac::Change>, Version), StoreError>;
+
+    /// Waits up to `wait` for changes of the requested evacuations after `since`.
+    async fn next_evacuations(
+        &self,
+        since: Version,
+        wait: Millis,
+    ) -> Result<(Vec<cyc_evac::Change>, Version), StoreError>;
+
     /// Reads the record of an account's prepaid tokens; no version if it does not exist.
     async fn prepaid_record(
         &self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -74,6 +74,8 @@
     pub targets: RefCell<TargetList>,
     /// The list of targets was read at least once.
     pub targets_loaded: Cell<bool>,
+    /// The evacuations were read at least once, or need not be read.
+    pub evacuations_loaded: Cell<bool>,
     /// State of the targets.
     pub fleet: RefCell<Fleet>,
     /// The other entries.
@@ -135,6 +137,7 @@
             config: RefCell::new(None),
             targets: RefCell::new(TargetList::new()),
             targets_loaded: Cell::new(false),
+            evacuations_loaded: Cell::new(settings.evacuation.is_none()),
             fleet: RefCell::new(
                 Fleet::new(settings.zone.clone(), choose::Options::default())
                     .with_entry(&settings.vm),
@@ -172,7 +175,8 @@
 
     /// Returns true if the platform may route callers to this entry.
     pub fn is_ready(&self) -> bool {
-        self.config.borrow().is_some() && self.targets_loaded.get() && !self.is_stopping()
+        let has_read = self.targets_loaded.get() && self.evacuations_loaded.get();
+        self.config.borrow().is_some() && has_read && !self.is_stopping()
     }
 
     /// Returns true once the shutdown signal has arrived.
--- a/crates/gateway/tests/gateway/cold.rs
+++ b/crates/gateway/tests/gateway/cold.rs
@@ -1,5 +1,6 @@
 //! Cold targets, played without a network: requests of all entries together in any second.
 
+use cyc_evac::{Change as Evacuation, Evacuations, Outcome as EvacuationOutcome};
 use cyc_gateway::{
     config::ColdStart,
     fleet::{Fleet, Load, Requirements, Verdict},
@@ -7,7 +8,7 @@
     member::{Change, Outcome, Record, TargetList, TargetState},
     port::StatedLimit,
 };
-use cyc_types::{Millis, PerSecond, ServiceId, TargetId};
+use cyc_types::{AvailabilityZone, Millis, PerSecond, ServiceId, TargetId};
 use googletest::prelude::*;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
@@ -16,6 +17,8 @@
 const RATE: f64 = 8.3;
 /// Requests that a cold target may get in any second: `RATE` x 1.5 + 5.
 const ALLOWED: usize = 17;
+/// Time at which entries have run for long.
+const T0: u64 = 60_000;
 /// Duration of a request at a target.
 const REQUEST_MS: u64 = 40;
 
@@ -51,11 +54,20 @@
     record(index, "a", 0).id
 }
 
+/// An entry that runs for long.
 fn fleet(records: &[Record], entry: usize) -> Fleet {
+    let mut fleet = fleet_at(&[], entry, 0);
+    fleet.set_targets(records.iter(), at(0));
+    fleet
+}
+
+/// An entry that reads the list of targets first at this time.
+fn fleet_at(records: &[Record], entry: usize, ms: u64) -> Fleet {
     let vm = format!("vm-{entry}").parse().unwrap();
-    let mut fleet = Fleet::new("a".parse().unwrap(), Default::default()).with_entry(&vm);
+    let zone = zone(["a", "b"][entry % 2]);
+    let mut fleet = Fleet::new(zone, Default::default()).with_entry(&vm);
     fleet.set_cold_starts([(&service(), cold_start())].into_iter());
-    fleet.set_targets(records.iter(), Millis::ZERO);
+    fleet.set_targets(records.iter(), at(ms));
     fleet
 }
 
@@ -83,14 +95,17 @@
     Joined,
     /// The granting entry does not hear of the coldness itself.
     GrantorUnaware,
+    /// An entry starts when the target is already cold, and its registration does not say so.
+    Late,
 }
 
-const FAULTS: [Fault; 5] = [
+const FAULTS: [Fault; 6] = [
     Fault::None,
     Fault::Cut,
     Fault::Frozen,
     Fault::Joined,
     Fault::GrantorUnaware,
+    Fault::Late,
 ];
 
 /// The entries and what arrives at the targets.
@@ -123,7 +138,8 @@
     fn acquire(&mut self, entry: usize, target: &TargetId, now: Millis) -> bool {
         let fleet = &mut self.fleets[entry];
         let cold = fleet.cold(target, now);
-        if cold.is_none() && fleet.limit_mut(target).is_none() {
+        let is_limited = cold.is_some() || fleet.limit_mut(target).is_some();
+        if !is_limited && !fleet.may_be_cold(target, now) {
             return true;
         }
         let incarnation = fleet.get(target).unwrap().record.incarnation();
@@ -144,6 +160,9 @@
                 self.fleets[granting].mark_cold(target, cold.left, now);
                 self.grantors[granting].learn_cold(&incarnation, cold, now);
             }
+            if let Some(own) = self.fleets[granting].cold(target, now) {
+                self.grantors[granting].learn_cold(&incarnation, own, now);
+            }
             self.grantors[granting].request(&incarnation, word, is_settled, now)
         });
         let turn = self.rng.random();
@@ -151,13 +170,15 @@
         match reply {
             Some(GrantReply::Granted | GrantReply::Unlimited) => true,
             Some(GrantReply::Denied(time)) => {
+                if !is_limited {
+                    fleet.mark_cold(target, at(1_000), now);
+                }
                 fleet.pace_mut(target, now).unwrap().deny(time, now);
                 false
             }
             None => fleet
                 .pace_mut(target, now)
-                .unwrap()
-                .take_turn(count, turn, now),
+                .is_none_or(|pace| pace.take_turn(count, turn, now)),
         }
     }
 
@@ -230,16 +251,22 @@
                 for (entry, fleet) in world.fleets.iter_mut().enumerate() {
                     let is_aware = fault != Fault::GrantorUnaware || entry > 0;
                     if is_aware {
-                        expect_true!(fleet.mark_cold(&id(0), at(3_000), at(0)));
+                        expect_true!(fleet.mark_cold(&id(0), at(3_000), at(T0)));
                     }
                 }
-                world.run(0, 3_000, 100.0, |_, _| true);
+                if fault == Fault::Late {
+                    world.run(T0, T0 + 500, 100.0, |_, _| true);
+                    world.fleets[1] = fleet_at(&records, 1, T0 + 500);
+                    world.run(T0 + 500, T0 + 3_000, 100.0, |_, _| true);
+                } else {
+                    world.run(T0, T0 + 3_000, 100.0, |_, _| true);
+                }
                 // Until another entry asks the unaware one, its own requests are not counted.
                 let from = match fault {
                     Fault::GrantorUnaware => 200,
                     _ => 0,
                 };
-                let most = world.most(0, from, 2_000);
+                let most = world.most(0, T0 + from, T0 + 2_000);
                 let detail = format!("{count} entries, {fault:?}, seed {seed}");
                 expect_that!(most, le(ALLOWED), "{detail}");
                 if fault == Fault::None {
@@ -260,15 +287,16 @@
             let records = [record(0, "a", 0), record(1, "a", 0)];
             let mut world = World::new(count, &records, Fault::None, seed);
             // Both are busy, so that entries need the returned one.
-            let is_up = |index: usize, ms: u64| index == 1 || !(1_000..4_000).contains(&ms);
-            world.run(0, 4_000, 150.0, is_up);
+            let is_up =
+                |index: usize, ms: u64| index == 1 || !(T0 + 1_000..T0 + 4_000).contains(&ms);
+            world.run(T0, T0 + 4_000, 150.0, is_up);
             for fleet in &mut world.fleets {
                 // Entries that sent nothing meanwhile are told of the crash.
                 let target = record(0, "a", 0).incarnation();
-                fleet.learn_crash(&target, at(100), at(4_000));
+                fleet.learn_crash(&target, at(100), at(T0 + 4_000));
             }
-            world.run(4_000, 7_000, 150.0, is_up);
-            let most = world.most(0, 4_000, 6_000);
+            world.run(T0 + 4_000, T0 + 7_000, 150.0, is_up);
+            let most = world.most(0, T0 + 4_000, T0 + 6_000);
             expect_that!(most, le(ALLOWED), "{count} entries, seed {seed}");
         }
     }
@@ -288,7 +316,7 @@
                 for (index, zone) in zones.iter().enumerate() {
                     match *zone {
                         "b" => {
-                            fleet.mark_cold(&id(index), at(3_000), at(0));
+                            fleet.mark_cold(&id(index), at(3_000), at(T0));
                         }
                         _ => {
                             let full = Load {
@@ -296,14 +324,14 @@
                                 waiting: 3,
                                 slots: 8,
                             };
-                            fleet.record_load(&id(index), full, at(1_000));
+                            fleet.record_load(&id(index), full, at(T0 + 1_000));
                         }
                     }
                 }
             }
-            world.run(0, 3_000, 400.0, |_, _| true);
+            world.run(T0, T0 + 3_000, 400.0, |_, _| true);
             for target in 2..zones.len() {
-                let most = world.most(target, 0, 2_000);
+                let most = world.most(target, T0, T0 + 2_000);
                 expect_that!(most, le(ALLOWED), "{count} entries, seed {seed}");
                 expect_that!(world.arrivals[target].len(), ge(10), "{count} entries");
             }
@@ -462,3 +490,71 @@
     };
     grantor.learn_cold(&record(0, "a", 0).incarnation(), word, at(1_000));
 }
+
+fn zone(name: &str) -> AvailabilityZone {
+    name.parse().unwrap()
+}
+
+/// Guards against requests, probes and last resorts that reach an evacuated zone.
+#[gtest]
+fn an_evacuated_zone_gets_nothing_even_if_no_other_target_is_left() {
+    let mut fleet = fleet(&[record(0, "a", 0), record(1, "b", 0)], 0);
+    fleet.set_evacuations(Evacuations::new(at(5_000)));
+    fleet.end_attempt(&id(0), 0, Verdict::NotReached, at(T0));
+    let evacuations = fleet.evacuations_mut();
+    evacuations.apply(&Evacuation::Requested(zone("a")), at(9_000), at(T0));
+    for ms in 0..10_000 {
+        let now = at(T0 + ms);
+        expect_that!(choose(&mut fleet, &[], true, now), some(eq(&id(1))));
+        expect_that!(choose(&mut fleet, &[id(1)], true, now), none());
+    }
+    expect_true!(fleet.is_evacuated(&id(0), at(T0)));
+    expect_false!(fleet.is_evacuated(&id(1), at(T0)));
+    // Callers are not told to wait for its targets.
+    fleet.mark_cold(&id(0), at(3_000), at(T0));
+    expect_that!(fleet.limit_wait(&service(), at(T0)), none());
+}
+
+/// Guards against a burst at the other zones when a zone is evacuated, and at its own targets when it
+/// returns after all of them have become cold.
+#[gtest]
+fn load_leaves_a_zone_and_returns_to_cold_targets_without_a_burst() {
+    for count in SIZES {
+        let zones = ["a", "a", "b", "b", "b", "b"];
+        let records = zones.iter().enumerate();
+        let records: Vec<Record> = records.map(|(i, zone)| record(i, zone, 0)).collect();
+        let mut world = World::new(count, &records, Fault::None, 1);
+        for fleet in &mut world.fleets {
+            fleet.set_evacuations(Evacuations::new(at(5_000)));
+        }
+        world.run(T0, T0 + 2_000, 300.0, |_, _| true);
+        let change = |world: &mut World, change: Evacuation, ms: u64| {
+            for fleet in &mut world.fleets {
+                let evacuations = fleet.evacuations_mut();
+                let outcome = evacuations.apply(&change, at(100), at(ms));
+                if outcome == EvacuationOutcome::Returned {
+                    expect_that!(fleet.mark_zone_cold(change.zone(), at(ms)), eq(4));
+                }
+            }
+        };
+        change(&mut world, Evacuation::Requested(zone("b")), T0 + 2_000);
+        world.run(T0 + 2_000, T0 + 8_000, 300.0, |_, _| true);
+        let of = |world: &World, targets: std::ops::Range<usize>, from: u64, to: u64| {
+            let arrivals = world.arrivals[targets].iter().flatten();
+            arrivals
+                .filter(|at| (T0 + from..T0 + to).contains(*at))
+                .count()
+        };
+        let shares = [2_000, 2_250, 2_500, 2_750].map(|ms| of(&world, 2..6, ms, ms + 250));
+        expect_true!(shares[0] > shares[1] && shares[2] > shares[3], "{shares:?}");
+        expect_that!(of(&world, 2..6, 3_000, 8_000), eq(0), "{count} entries");
+        expect_that!(world.refused, eq(0), "{count} entries");
+        change(&mut world, Evacuation::Removed(zone("b")), T0 + 8_000);
+        world.run(T0 + 8_000, T0 + 14_000, 300.0, |_, _| true);
+        for target in 2..6 {
+            let most = world.most(target, T0 + 8_000, T0 + 10_000);
+            expect_that!(most, le(ALLOWED), "{count} entries");
+        }
+        expect_that!(of(&world, 2..6, 12_000, 14_000), ge(100), "{count} entries");
+    }
+}
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -45,6 +45,10 @@
 pub const LIMIT_DENIALS: &str = "limit_denials";
 /// Counter: targets that became cold, as far as this process knows.
 pub const TARGETS_COLD: &str = "targets_cold";
+/// Counter: evacuations of availability zones that this process has followed.
+pub const ZONES_EVACUATED: &str = "zones_evacuated";
+/// Counter: evacuations that have ended.
+pub const ZONES_RETURNED: &str = "zones_returned";
 /// Counter: requests granted to cold targets.
 pub const COLD_GRANTS: &str = "cold_grants";
 /// Counter: requests that were not sent to a target because it is cold.
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -135,6 +135,26 @@
         }
     }
 
+    async fn evacuations(&self) -> Result<(Vec<cyc_evac::Change>, Version), StoreError> {
+        match self.call(&Call::Evacuations, CALL_TIMEOUT).await? {
+            Reply::Evacuations(list, version) => Ok((list, version)),
+            _ => unexpected(),
+        }
+    }
+
+    async fn next_evacuations(
+        &self,
+        since: Version,
+        wait: Millis,
+    ) -> Result<(Vec<cyc_evac::Change>, Version), StoreError> {
+        let wait = wait.min(MAX_WATCH_WAIT);
+        let call = Call::NextEvacuations { since, wait };
+        match self.call(&call, wait + WATCH_TIMEOUT).await? {
+            Reply::Evacuations(changes, version) => Ok((changes, version)),
+            _ => unexpected(),
+        }
+    }
+
     async fn prepaid_record(
         &self,
         account: &ClientAccountId,
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    feed::{ConfigFeed, TargetFeed},
+    feed::{ConfigFeed, EvacuationFeed, ListChange, ListFeed, TargetFeed},
     handle::handle_request,
     roster::Roster,
 };
@@ -112,6 +112,9 @@
     pub(crate) config_demand: Demand,
     pub(crate) targets: RefCell<TargetFeed>,
     pub(crate) targets_demand: Demand,
+    pub(crate) evacuations: RefCell<EvacuationFeed>,
+    /// Without an entry that asks, no call is made for evacuations.
+    pub(crate) evacuations_demand: Demand,
     /// Notified when a feed has new data or has to tell that it is outdated.
     pub(crate) feeds_changed: Notify,
     pub(crate) roster: RefCell<Roster>,
@@ -173,6 +176,8 @@
         config_demand: Demand::default(),
         targets: RefCell::default(),
         targets_demand: Demand::default(),
+        evacuations: RefCell::default(),
+        evacuations_demand: Demand::default(),
         feeds_changed: Notify::new(),
         roster: RefCell::default(),
         entry_joined: Notify::new(),
@@ -183,6 +188,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn_local(run_config_feed(relay.clone()));
     tasks.spawn_local(run_target_feed(relay.clone()));
+    tasks.spawn_local(run_evacuation_feed(relay.clone()));
     tasks.spawn_local(write_heartbeats(relay.clone()));
     let handler = relay.clone();
     tasks.spawn_local(serve::serve_plain(listener, async move |req| {
@@ -297,13 +303,8 @@
         match read {
             Ok((changes, as_of)) => {
                 backoff.reset();
-                let now = relay.now();
                 let has_changes = !changes.is_empty();
-                match since {
-                    None => relay.targets.borrow_mut().replace(changes, as_of, now),
-                    Some(_) => relay.targets.borrow_mut().extend(changes, as_of, now),
-                }
-                relay.feeds_changed.notify_waiters();
+                record_list(&relay, &relay.targets, since, changes, as_of);
                 if has_changes {
                     sleep(COALESCE_WINDOW.duration()).await;
                 }
@@ -314,6 +315,48 @@
     }
 }
 
+/// Keeps the requested evacuations while entries ask for them; never returns.
+async fn run_evacuation_feed<S: Store>(relay: Rc<Relay<S>>) {
+    let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    loop {
+        if !relay.evacuations_demand.is_recent(relay.now()) {
+            relay.evacuations.borrow_mut().clear();
+            relay.evacuations_demand.asked.notified().await;
+            continue;
+        }
+        let since: Option<Version> = relay.evacuations.borrow().as_of();
+        relay.count(cyc_obs::names::STORE_CALLS, "evacuations");
+        let read = match since {
+            None => relay.store.evacuations().await,
+            Some(since) => relay.store.next_evacuations(since, WATCH_WAIT).await,
+        };
+        match read {
+            Ok((changes, as_of)) => {
+                backoff.reset();
+                record_list(&relay, &relay.evacuations, since, changes, as_of);
+            }
+            Err(StoreError::HistoryUnavailable) => relay.evacuations.borrow_mut().clear(),
+            Err(error) => pause(&mut backoff, "evacuations", &error).await,
+        }
+    }
+}
+
+/// Records a read of a whole list, or of its changes after `since`.
+fn record_list<S, C: ListChange>(
+    relay: &Relay<S>,
+    feed: &RefCell<ListFeed<C>>,
+    since: Option<Version>,
+    changes: Vec<C>,
+    as_of: Version,
+) {
+    let now = relay.clock.now();
+    match since {
+        None => feed.borrow_mut().replace(changes, as_of, now),
+        Some(_) => feed.borrow_mut().extend(changes, as_of, now),
+    }
+    relay.feeds_changed.notify_waiters();
+}
+
 /// Writes the heartbeats of the relay's entries and reads those of the others; never returns.
 async fn write_heartbeats<S: Store>(relay: Rc<Relay<S>>) {
     let mut is_known = false;
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -1,10 +1,10 @@
-//! What a relay has read from the store for its entries: the newest configuration, and the list of
-//! targets with its recent changes.
+//! What a relay has read from the store for its entries: the newest configuration, and the lists of
+//! targets and of evacuations with their recent changes.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use cyc_gateway::{config::Configuration, member::Change, port::StoreError};
-use cyc_types::{Millis, TargetId, Version};
+use cyc_types::{AvailabilityZone, Millis, TargetId, Version};
 
 /// A feed that has not heard from the store for this long may lack changes that are due at the
 /// entries.
@@ -118,23 +118,75 @@
     }
 }
 
+/// A change of a list in the store.
+pub trait ListChange: Clone {
+    /// Identifies an item of the list.
+    type Id: Clone + Ord;
+
+    /// The item that the change concerns.
+    fn id(&self) -> &Self::Id;
+
+    /// Returns true if the item was removed.
+    fn is_removal(&self) -> bool;
+}
+
+impl ListChange for Change {
+    type Id = TargetId;
+
+    fn id(&self) -> &TargetId {
+        self.id()
+    }
+
+    fn is_removal(&self) -> bool {
+        matches!(self, Self::Removed(_))
+    }
+}
+
+impl ListChange for cyc_evac::Change {
+    type Id = AvailabilityZone;
+
+    fn id(&self) -> &AvailabilityZone {
+        self.zone()
+    }
+
+    fn is_removal(&self) -> bool {
+        matches!(self, Self::Removed(_))
+    }
+}
+
 /// The list of targets and its recent changes.
-#[derive(Debug, Default)]
-pub struct TargetFeed {
+pub type TargetFeed = ListFeed<Change>;
+/// The requested evacuations and their recent changes.
+pub type EvacuationFeed = ListFeed<cyc_evac::Change>;
+
+/// A list in the store and its recent changes.
+#[derive(Debug)]
+pub struct ListFeed<C: ListChange> {
     progress: Option<Progress>,
-    /// The last change of each registered target.
-    registered: BTreeMap<TargetId, Change>,
+    /// The last change of each item.
+    items: BTreeMap<C::Id, C>,
     /// Recent changes, each with the version as of which it was read, oldest first.
-    changes: VecDeque<(Version, Change)>,
+    changes: VecDeque<(Version, C)>,
     /// All changes after this version are in `changes`.
     complete_since: Version,
 }
 
-impl TargetFeed {
+impl<C: ListChange> Default for ListFeed<C> {
+    fn default() -> Self {
+        Self {
+            progress: None,
+            items: BTreeMap::new(),
+            changes: VecDeque::new(),
+            complete_since: Version::ZERO,
+        }
+    }
+}
+
+impl<C: ListChange> ListFeed<C> {
     /// Records a read of the whole list. Entries that are informed up to an older version have to
     /// read the list too.
-    pub fn replace(&mut self, list: Vec<Change>, as_of: Version, now: Millis) {
-        self.registered = list
+    pub fn replace(&mut self, list: Vec<C>, as_of: Version, now: Millis) {
+        self.items = list
             .into_iter()
             .map(|change| (change.id().clone(), change))
             .collect();
@@ -147,13 +199,11 @@
     }
 
     /// Records changes that were read by a watch.
-    pub fn extend(&mut self, changes: Vec<Change>, as_of: Version, now: Millis) {
+    pub fn extend(&mut self, changes: Vec<C>, as_of: Version, now: Millis) {
         for change in changes {
-            match &change {
-                Change::Removed(id) => self.registered.remove(id),
-                Change::Updated(_) | Change::Unreadable(_) => {
-                    self.registered.insert(change.id().clone(), change.clone())
-                }
+            match change.is_removal() {
+                true => self.items.remove(change.id()),
+                false => self.items.insert(change.id().clone(), change.clone()),
             };
             self.changes.push_back((as_of, change));
         }
@@ -187,15 +237,15 @@
     ///
     /// # Errors
     /// [`StoreError::Unreachable`] if the feed may be outdated.
-    pub fn list(&self, now: Millis) -> Result<(Vec<Change>, Version), StoreError> {
+    pub fn list(&self, now: Millis) -> Result<(Vec<C>, Version), StoreError> {
         let progress = fresh(self.progress, now)?;
-        Ok((self.registered.values().cloned().collect(), progress.as_of))
+        Ok((self.items.values().cloned().collect(), progress.as_of))
     }
 
     /// Returns true if changes were read after `since`.
     ///
     /// # Errors
-    /// As [`TargetFeed::since`].
+    /// As [`ListFeed::since`].
     pub fn has_changes(&self, since: Version, now: Millis) -> Result<bool, StoreError> {
         self.check(since, now)?;
         let last = self.changes.back();
@@ -216,7 +266,7 @@
     /// # Errors
     /// [`StoreError::HistoryUnavailable`] if older changes would be missing,
     /// [`StoreError::Unreachable`] if the feed may be outdated.
-    pub fn since(&self, since: Version, now: Millis) -> Result<(Vec<Change>, Version), StoreError> {
+    pub fn since(&self, since: Version, now: Millis) -> Result<(Vec<C>, Version), StoreError> {
         let progress = self.check(since, now)?;
         let newer = self.changes.iter().filter(|(version, _)| *version > since);
         let changes = newer.map(|(_, change)| change.clone()).collect();
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -1,5 +1,7 @@
 //! Handles the calls of entries.
 
+use std::cell::RefCell;
+
 use bytes::Bytes;
 use cyc_gateway::port::{Store, StoreError};
 use cyc_types::{Millis, Version};
@@ -10,6 +12,7 @@
 
 use crate::{
     daemon::Relay,
+    feed::{ListChange, ListFeed},
     message::{self, CALL_PATH, Call, MAX_MESSAGE_BYTES, Reply},
 };
 
@@ -74,17 +77,39 @@
         Call::Targets => {
             relay.count(calls, "targets");
             relay.targets_demand.record(relay.now());
-            wait_for_change(relay, START_WAIT, || targets_state(relay, None)).await?;
+            wait_for_change(relay, START_WAIT, || {
+                list_state(relay, &relay.targets, None)
+            })
+            .await?;
             let (list, as_of) = relay.targets.borrow().list(relay.now())?;
             Ok(Reply::Targets(list, as_of))
         }
         Call::NextTargets { since, wait } => {
             relay.count(calls, "next_targets");
             relay.targets_demand.record(relay.now());
-            wait_for_change(relay, wait, || targets_state(relay, Some(since))).await?;
+            wait_for_change(relay, wait, || {
+                list_state(relay, &relay.targets, Some(since))
+            })
+            .await?;
             let (changes, as_of) = relay.targets.borrow().since(since, relay.now())?;
             Ok(Reply::Targets(changes, as_of))
         }
+        Call::Evacuations => {
+            relay.count(calls, "evacuations");
+            relay.evacuations_demand.record(relay.now());
+            let state = || list_state(relay, &relay.evacuations, None);
+            wait_for_change(relay, START_WAIT, state).await?;
+            let (list, as_of) = relay.evacuations.borrow().list(relay.now())?;
+            Ok(Reply::Evacuations(list, as_of))
+        }
+        Call::NextEvacuations { since, wait } => {
+            relay.count(calls, "next_evacuations");
+            relay.evacuations_demand.record(relay.now());
+            let state = || list_state(relay, &relay.evacuations, Some(since));
+            wait_for_change(relay, wait, state).await?;
+            let (changes, as_of) = relay.evacuations.borrow().since(since, relay.now())?;
+            Ok(Reply::Evacuations(changes, as_of))
+        }
         Call::PrepaidRecord(account) => {
             relay.count(calls, "prepaid_record");
             let (version, record) = relay.store.prepaid_record(&account).await?;
@@ -137,8 +162,12 @@
     }
 }
 
-fn targets_state<S: Store>(relay: &Relay<S>, since: Option<Version>) -> FeedState {
-    let feed = relay.targets.borrow();
+fn list_state<S: Store, C: ListChange>(
+    relay: &Relay<S>,
+    feed: &RefCell<ListFeed<C>>,
+    since: Option<Version>,
+) -> FeedState {
+    let feed = feed.borrow();
     let Some(stale_at) = feed.stale_at() else {
         return FeedState::NotRead;
     };
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -33,6 +33,15 @@
         /// Maximum wait for a change.
         wait: Millis,
     },
+    /// The requested evacuations.
+    Evacuations,
+    /// Changes of the requested evacuations after `since`.
+    NextEvacuations {
+        /// Version of the store that the entry knows.
+        since: Version,
+        /// Maximum wait for a change.
+        wait: Millis,
+    },
     /// The record of an account's prepaid tokens.
     PrepaidRecord(ClientAccountId),
     /// A compare-and-swap write of a record.
@@ -51,6 +60,8 @@
     Configuration(Option<Configuration>, Version),
     /// The list of targets or its changes, and the store's version.
     Targets(Vec<Change>, Version),
+    /// The requested evacuations or their changes, and the store's version.
+    Evacuations(Vec<cyc_evac::Change>, Version),
     /// A record and its version; no version if it does not exist.
     PrepaidRecord(Option<Version>, Record),
     /// The outcome of a write.
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -208,6 +208,22 @@
         shared.watch(call).await
     }
 
+    async fn evacuations(&self) -> Result<(Vec<cyc_evac::Change>, Version), StoreError> {
+        let shared = &self.shared;
+        let call = async |path: Path| on!(shared, path, store => store.evacuations().await);
+        shared.call(Purpose::Shared, Effect::Read, call).await
+    }
+
+    async fn next_evacuations(
+        &self,
+        since: Version,
+        wait: Millis,
+    ) -> Result<(Vec<cyc_evac::Change>, Version), StoreError> {
+        let shared = &self.shared;
+        let call = async |path: Path| on!(shared, path, store => store.next_evacuations(since, wait).await);
+        shared.watch(call).await
+    }
+
     async fn prepaid_record(
         &self,
         account: &ClientAccountId,
