Tests of evacuations; a first list has no known age

The age of the first list was taken as the time since the process started, so that an entry that starts during an evacuation let its load leave over a second.

--- a/crates/gateway/src/control/evacuations.rs
+++ b/crates/gateway/src/control/evacuations.rs
@@ -13,6 +13,9 @@
     state::State,
 };
 
+/// Age of requests that the first list contains.
+const UNKNOWN_AGE: Millis = Millis::new(u64::MAX);
+
 /// Watches the requested evacuations and applies changes; never returns.
 pub async fn watch_evacuations<P: Protocol, S: Store>(state: Rc<State<P>>, store: Rc<S>) {
     let mut retry_delay = RetryDelay::default();
@@ -32,7 +35,7 @@
                     spdlog::info!("evacuation_watch_recovered", kv: { failures = failures });
                 }
                 let now = state.now();
-                let age = known_until.map_or(now, |known| now.saturating_sub(known));
+                let age = known_until.map_or(UNKNOWN_AGE, |known| now.saturating_sub(known));
                 let mut fleet = state.fleet.borrow_mut();
                 let evacuations = fleet.evacuations_mut();
                 evacuations.expire(now);
--- a/crates/relay/tests/relay/calls.rs
+++ b/crates/relay/tests/relay/calls.rs
@@ -179,6 +179,41 @@
     .await;
 }
 
+/// Guards against store calls in deployments without evacuations, against one call for each entry,
+/// and against an evacuation that entries behind a relay miss or keep.
+#[tokio::test]
+async fn evacuations_are_watched_once_an_entry_asks_for_them() {
+    run_local(async {
+        let store = MemoryStore::default();
+        let zone = || "b".parse().unwrap();
+        store.evacuate(cyc_evac::Change::Requested(zone()));
+        let relay = Relay::start("side-1", &store).await;
+        let clients: Vec<RelayClient> = (0..30).map(|_| RelayClient::new(relay.addr)).collect();
+        clients[0].targets().await.unwrap();
+        sleep(Millis::new(200).duration()).await;
+        assert_eq!(store.calls("evacuations"), 0);
+        let lists = clients.iter().map(RelayClient::evacuations);
+        let lists = futures::future::join_all(lists).await;
+        let requested = [cyc_evac::Change::Requested(zone())];
+        for list in &lists {
+            assert_eq!(list.as_ref().unwrap().0, requested);
+        }
+        let since = lists[0].as_ref().unwrap().1;
+        let watches = clients.iter();
+        let watches = watches.map(|client| client.next_evacuations(since, WAIT));
+        let (all, ()) = tokio::join!(futures::future::join_all(watches), async {
+            store.evacuate(cyc_evac::Change::Removed(zone()));
+        });
+        for result in all {
+            assert_eq!(result.unwrap().0, [cyc_evac::Change::Removed(zone())]);
+        }
+        assert_eq!(clients[0].evacuations().await.unwrap().0, []);
+        assert_eq!(store.calls("evacuations"), 1);
+        assert!(store.calls("next_evacuations") <= 4);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_relay_passes_on_what_the_store_says_of_a_write() {
     run_local(async {
--- a/crates/relay/tests/relay/standin.rs
+++ b/crates/relay/tests/relay/standin.rs
@@ -34,6 +34,7 @@
     version: u64,
     config: Option<(u64, Configuration)>,
     changes: Vec<(u64, Change)>,
+    evacuations: Vec<(u64, cyc_evac::Change)>,
     records: BTreeMap<ClientAccountId, (u64, Record)>,
     heartbeats: BTreeMap<VmId, Vec<Heartbeat>>,
     fault: Fault,
@@ -70,6 +71,15 @@
         self.changed.notify_waiters();
     }
 
+    pub fn evacuate(&self, change: cyc_evac::Change) {
+        let mut inner = self.inner.borrow_mut();
+        inner.version += 1;
+        let version = inner.version;
+        inner.evacuations.push((version, change));
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
     pub fn record(&self, account: &ClientAccountId) -> Option<Record> {
         let inner = self.inner.borrow();
         inner.records.get(account).map(|(_, record)| record.clone())
@@ -173,6 +183,36 @@
         .await
     }
 
+    async fn evacuations(&self) -> Result<(Vec<cyc_evac::Change>, Version), StoreError> {
+        self.call("evacuations", |inner| {
+            let last: BTreeMap<_, _> = inner
+                .evacuations
+                .iter()
+                .map(|(_, change)| (change.zone().clone(), change.clone()))
+                .collect();
+            let requested = last.into_values();
+            let requested =
+                requested.filter(|change| !matches!(change, cyc_evac::Change::Removed(_)));
+            (requested.collect(), Version::new(inner.version))
+        })
+        .await
+    }
+
+    async fn next_evacuations(
+        &self,
+        since: Version,
+        wait: Millis,
+    ) -> Result<(Vec<cyc_evac::Change>, Version), StoreError> {
+        self.wait_past(since, wait).await;
+        self.call("next_evacuations", |inner| {
+            let newer = inner.evacuations.iter();
+            let newer = newer.filter(|(at, _)| *at > since.get());
+            let changes = newer.map(|(_, change)| change.clone()).collect();
+            (changes, Version::new(inner.version))
+        })
+        .await
+    }
+
     async fn prepaid_record(
         &self,
         account: &ClientAccountId,
