--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -691,7 +691,10 @@
         of_service
             .filter_map(|target| {
                 let named = target.limit.map(|limit| limit.wait(now));
-                let cold = self.cold_word(target, now).map(|_| target.cold.wait(now));
+                // An ejected target says nothing of when one accepts a request.
+                let is_available = target.health.availability(now) == Availability::Available;
+                let cold = self.cold_word(target, now).filter(|_| is_available);
+                let cold = cold.map(|_| target.cold.wait(now));
                 named.max(cold)
             })
             .min()
