--- a/crates/gateway/benches/choose.rs
+++ b/crates/gateway/benches/choose.rs
@@ -26,6 +26,7 @@
             zone: ["a", "b", "c"][index % 3].parse()?,
             slots: 128,
             state: TargetState::Ready,
+            cold_left: Millis::ZERO,
         });
     }
     fleet.set_targets(records.iter(), Millis::ZERO);
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -277,6 +277,7 @@
             zone: zone(scenario, index),
             slots,
             state: TargetState::Ready,
+            cold_left: Millis::ZERO,
         }
     };
     (0..count).map(record).collect()
