An entry that was frozen asks before it sends to targets that may be cold

It has missed ejections, registrations and the end of evacuations, and requests of callers reach it before the news. The granting entry grants less for the time in which another one may have taken over. Coldness that a registration tells before the configuration is read counts as well.

--- a/crates/gateway/src/control/grants.rs
+++ b/crates/gateway/src/control/grants.rs
@@ -80,6 +80,7 @@
 impl Asked {
     /// Returns `None` for a target to which requests can be sent without asking.
     fn new<P>(state: &State<P>, id: &TargetId) -> Option<Self> {
+        state.note_freeze();
         let now = state.now();
         let mut fleet = state.fleet.borrow_mut();
         let cold = fleet.cold(id, now);
@@ -166,13 +167,17 @@
         return GrantReply::Denied(SHUTDOWN_DENIAL);
     }
     let now = state.now();
-    let peers = state.peers.borrow();
-    let is_settled =
-        peers.is_assigned(grant_key(&target.id)) && is_settled(peers.changed_at(), now);
     let fleet = state.fleet.borrow();
     let own = fleet.get(&target.id);
     let own = own.filter(|own| own.record.incarnation() == *target);
     let own = own.and_then(|_| fleet.cold(&target.id, now));
+    let peers = state.peers.borrow();
+    // While this entry was frozen, another one may have begun to grant the requests to the target.
+    let changed_at = match cold.or(own) {
+        Some(_) => peers.changed_at().max(state.resumed_at.get()),
+        None => peers.changed_at(),
+    };
+    let is_settled = peers.is_assigned(grant_key(&target.id)) && is_settled(changed_at, now);
     let mut grantor = state.grantor.borrow_mut();
     for cold in cold.into_iter().chain(own) {
         grantor.learn_cold(target, cold, now);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -280,8 +280,8 @@
     services: HashMap<ServiceId, ServiceTargets>,
     /// The services whose targets start cold.
     cold_starts: HashMap<ServiceId, ColdStart>,
-    /// When this entry first read the list of targets.
-    first_list_at: Option<Millis>,
+    /// When this entry first read the list of targets, or went on after it was frozen.
+    resumed_at: Option<Millis>,
     /// The zones whose targets get less than their load, or nothing.
     evacuations: Evacuations,
     /// Prompts that this entry has sent to the targets of each service, by lane.
@@ -301,7 +301,7 @@
             targets: BTreeMap::new(),
             services: HashMap::new(),
             cold_starts: HashMap::new(),
-            first_list_at: None,
+            resumed_at: None,
             evacuations: Evacuations::default(),
             prefill: HashMap::new(),
             demand: PrefixDemand::default(),
@@ -328,7 +328,7 @@
     /// Replaces the list of targets. The state of a target that was restarted or has a new address
     /// is discarded; it counts as cold.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Record>, now: Millis) {
-        self.first_list_at.get_or_insert(now);
+        self.resumed_at.get_or_insert(now);
         let mut old = std::mem::take(&mut self.targets);
         for record in records {
             let known = old.remove(&record.id);
@@ -706,7 +706,9 @@
         let Some(target) = self.targets.get_mut(id) else {
             return false;
         };
-        self.cold_starts.contains_key(&target.record.service) && target.cold.extend(left, now)
+        // The configuration may be read after the list of targets.
+        let is_new = target.cold.extend(left, now);
+        is_new && self.cold_starts.contains_key(&target.record.service)
     }
 
     /// What this entry knows of a cold target; `None` if it is warm. An ejected target counts as
@@ -730,13 +732,18 @@
         })
     }
 
+    /// Records that this entry goes on after it was frozen, so that it has missed what happened.
+    pub fn resume(&mut self, now: Millis) {
+        self.resumed_at = Some(now);
+    }
+
     /// Returns true if a target may be cold without this entry's knowledge, because the entry started
-    /// shorter ago than targets stay cold after what it has not seen: an ejection, or the end of an
-    /// evacuation. The granting entry knows.
+    /// or was frozen shorter ago than targets stay cold after what it has not seen: an ejection, or
+    /// the end of an evacuation. The granting entry knows.
     pub fn may_be_cold(&self, id: &TargetId, now: Millis) -> bool {
         let target = self.targets.get(id);
         let cold_start = target.and_then(|target| self.cold_starts.get(&target.record.service));
-        let since = self.first_list_at.map(|at| now.saturating_sub(at));
+        let since = self.resumed_at.map(|at| now.saturating_sub(at));
         cold_start.is_some_and(|cold_start| since.is_some_and(|since| since < cold_start.time))
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,10 @@
     store_health::StoreHealth,
 };
 
+/// An entry whose task of every second has not run for this long was frozen. The task may wait for
+/// three other entries that do not answer, 300 ms each.
+const FREEZE_TIME: Millis = Millis::new(2_500);
+
 fn log_limit(target: &TargetIncarnation, limit: Option<PerSecond>, source: &str) {
     spdlog::info!("target_limit_changed", kv: {
         target = target.id.as_str(),
@@ -88,6 +92,10 @@
     pub knowledge: RefCell<Knowledge>,
     /// Notified when there may be news for other entries.
     pub news_added: Notify,
+    /// When a task of this entry last ran that runs about every second; see [`State::note_freeze`].
+    pub ticked_at: Cell<Option<Millis>>,
+    /// When this entry last went on after it was frozen.
+    pub resumed_at: Cell<Millis>,
     /// No other entry answered lately, though some run.
     pub is_isolated: Cell<bool>,
     /// Grants of requests to the limited targets that this entry looks after.
@@ -147,6 +155,8 @@
             loan_failures: RefCell::default(),
             knowledge: RefCell::default(),
             news_added: Notify::new(),
+            ticked_at: Cell::new(None),
+            resumed_at: Cell::new(Millis::ZERO),
             is_isolated: Cell::new(false),
             grantor: RefCell::default(),
             unresponsive_grantors: RefCell::default(),
@@ -173,6 +183,21 @@
         self.clock.now()
     }
 
+    /// Finds out whether this entry was frozen, before it acts on what it knew. What other entries
+    /// have learnt meanwhile arrives later than the requests of callers.
+    pub fn note_freeze(&self) {
+        let now = self.now();
+        let since = self.ticked_at.get().map(|at| now.saturating_sub(at));
+        if since.is_some_and(|since| since >= FREEZE_TIME) {
+            self.ticked_at.set(Some(now));
+            self.resumed_at.set(now);
+            self.fleet.borrow_mut().resume(now);
+            spdlog::warn!("process_resumed", kv: {
+                frozen_ms = since.map_or(0, |since| since.get()),
+            });
+        }
+    }
+
     /// Returns true if the platform may route callers to this entry.
     pub fn is_ready(&self) -> bool {
         let has_read = self.targets_loaded.get() && self.evacuations_loaded.get();
--- a/crates/gateway/tests/gateway/cold.rs
+++ b/crates/gateway/tests/gateway/cold.rs
@@ -97,15 +97,18 @@
     GrantorUnaware,
     /// An entry starts when the target is already cold, and its registration does not say so.
     Late,
+    /// An entry is frozen while the others hear of the coldness.
+    Woken,
 }
 
-const FAULTS: [Fault; 6] = [
+const FAULTS: [Fault; 7] = [
     Fault::None,
     Fault::Cut,
     Fault::Frozen,
     Fault::Joined,
     Fault::GrantorUnaware,
     Fault::Late,
+    Fault::Woken,
 ];
 
 /// The entries and what arrives at the targets.
@@ -119,6 +122,8 @@
     /// Ends of the requests that run: time, entry, target.
     ends: Vec<(u64, usize, usize)>,
     refused: usize,
+    /// An entry that does nothing.
+    frozen: Option<usize>,
 }
 
 impl World {
@@ -131,6 +136,7 @@
             arrivals: vec![Vec::new(); records.len()],
             ends: Vec::new(),
             refused: 0,
+            frozen: (fault == Fault::Frozen).then_some(0),
         }
     }
 
@@ -145,7 +151,7 @@
         let incarnation = fleet.get(target).unwrap().record.incarnation();
         let word = fleet.limit_word(target, now).unwrap();
         let count = self.fleets.len();
-        let knows_joined = entry % 2 == 0;
+        let knows_joined = entry.is_multiple_of(2);
         let (granting, is_settled) = match self.fault {
             Fault::Joined if knows_joined => (1, false),
             _ => (0, true),
@@ -221,7 +227,7 @@
             }
             if self.rng.random_bool(rate / 1_000.0) {
                 let entry = self.rng.random_range(0..self.fleets.len());
-                if self.fault == Fault::Frozen && entry == 0 {
+                if self.frozen == Some(entry) {
                     continue;
                 }
                 self.request(entry, ms, |index| is_up(index, ms));
@@ -249,12 +255,22 @@
                 let records = [record(0, "a", 0)];
                 let mut world = World::new(count, &records, fault, seed);
                 for (entry, fleet) in world.fleets.iter_mut().enumerate() {
-                    let is_aware = fault != Fault::GrantorUnaware || entry > 0;
+                    let is_aware = match fault {
+                        Fault::GrantorUnaware => entry != 0,
+                        Fault::Woken => entry != 1,
+                        _ => true,
+                    };
                     if is_aware {
                         expect_true!(fleet.mark_cold(&id(0), at(3_000), at(T0)));
                     }
                 }
-                if fault == Fault::Late {
+                if fault == Fault::Woken {
+                    world.frozen = Some(1);
+                    world.run(T0, T0 + 800, 100.0, |_, _| true);
+                    world.frozen = None;
+                    world.fleets[1].resume(at(T0 + 800));
+                    world.run(T0 + 800, T0 + 3_000, 100.0, |_, _| true);
+                } else if fault == Fault::Late {
                     world.run(T0, T0 + 500, 100.0, |_, _| true);
                     world.fleets[1] = fleet_at(&records, 1, T0 + 500);
                     world.run(T0 + 500, T0 + 3_000, 100.0, |_, _| true);
@@ -558,3 +574,14 @@
         expect_that!(of(&world, 2..6, 12_000, 14_000), ge(100), "{count} entries");
     }
 }
+
+/// Guards against a registration that is forgotten because the configuration is read after it.
+#[gtest]
+fn coldness_counts_whichever_is_read_first() {
+    let mut fleet = Fleet::new(zone("a"), Default::default());
+    fleet.set_targets([record(0, "a", 2_000)].iter(), at(0));
+    fleet.mark_cold(&id(0), at(2_000), at(0));
+    expect_that!(fleet.cold(&id(0), at(100)), none());
+    fleet.set_cold_starts([(&service(), cold_start())].into_iter());
+    expect_that!(fleet.cold(&id(0), at(100)).unwrap().left, eq(at(1_900)));
+}
