--- a/crates/gateway/src/control/grants.rs
+++ b/crates/gateway/src/control/grants.rs
@@ -163,14 +163,19 @@
     word: LimitWord,
     cold: Option<ColdWord>,
 ) -> GrantReply {
-    if state.is_stopping() {
-        return GrantReply::Denied(SHUTDOWN_DENIAL);
-    }
     let now = state.now();
     let fleet = state.fleet.borrow();
     let own = fleet.get(&target.id);
     let own = own.filter(|own| own.record.incarnation() == *target);
     let own = own.and_then(|_| fleet.cold(&target.id, now));
+    if state.is_stopping() {
+        let is_limited = cold.or(own).is_some() || word.limit.is_some();
+        return match is_limited || state.grantor.borrow().is_limited(target, now) {
+            true => GrantReply::Denied(SHUTDOWN_DENIAL),
+            // Asked by an entry that has just started.
+            false => GrantReply::Unlimited,
+        };
+    }
     let peers = state.peers.borrow();
     // While this entry was frozen, another one may have begun to grant the requests to the target.
     let changed_at = match cold.or(own) {
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -184,6 +184,12 @@
         };
     }
 
+    /// Returns true if a target names a limit or is cold, as far as any entry has reported.
+    pub fn is_limited(&self, target: &TargetIncarnation, now: Millis) -> bool {
+        let grants = self.by_target.get(target);
+        grants.is_some_and(|grants| grants.is_limited(now))
+    }
+
     fn insert(&mut self, target: &TargetIncarnation, grants: Grants) {
         if self.by_target.len() >= MAX_GRANTED_TARGETS {
             self.remove_oldest();
