--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,8 +7,10 @@
     rc::Rc,
 };
 
+use cadence::CountedExt as _;
 use cyc_obs::Metrics;
 use cyc_types::{ClientAccountId, Clock, Millis, PerSecond, TargetId, VmId};
+use strum::{Display, IntoStaticStr};
 use tokio::{
     sync::{Notify, watch},
     time::Instant,
@@ -32,6 +34,10 @@
     store_health::StoreHealth,
 };
 
+/// An entry whose task of every second has not run for this long was frozen. The task may wait for
+/// three other entries that do not answer, 300 ms each.
+const FREEZE_TIME: Millis = Millis::new(2_500);
+
 fn log_limit(target: &TargetIncarnation, limit: Option<PerSecond>, source: &str) {
     spdlog::info!("target_limit_changed", kv: {
         target = target.id.as_str(),
@@ -40,6 +46,22 @@
     });
 }
 
+/// How an entry learnt that a target is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ColdSource {
+    /// Its registration says so.
+    Registration,
+    /// It was restarted under its id.
+    Restart,
+    /// It returned after an ejection.
+    Ejection,
+    /// One of its answers says so.
+    Answer,
+    /// Another entry asked for a grant.
+    Entry,
+}
+
 /// The state of one entry.
 pub struct State<P> {
     /// VM of this entry.
@@ -56,6 +78,8 @@
     pub targets: RefCell<TargetList>,
     /// The list of targets was read at least once.
     pub targets_loaded: Cell<bool>,
+    /// The evacuations were read at least once, or need not be read.
+    pub evacuations_loaded: Cell<bool>,
     /// State of the targets.
     pub fleet: RefCell<Fleet>,
     /// The other entries.
@@ -68,6 +92,10 @@
     pub knowledge: RefCell<Knowledge>,
     /// Notified when there may be news for other entries.
     pub news_added: Notify,
+    /// When a task of this entry last ran that runs about every second; see [`State::note_freeze`].
+    pub ticked_at: Cell<Option<Millis>>,
+    /// When this entry last went on after it was frozen.
+    pub resumed_at: Cell<Millis>,
     /// No other entry answered lately, though some run.
     pub is_isolated: Cell<bool>,
     /// Grants of requests to the limited targets that this entry looks after.
@@ -117,6 +145,7 @@
             config: RefCell::new(None),
             targets: RefCell::new(TargetList::new()),
             targets_loaded: Cell::new(false),
+            evacuations_loaded: Cell::new(settings.evacuation.is_none()),
             fleet: RefCell::new(
                 Fleet::new(settings.zone.clone(), choose::Options::default())
                     .with_entry(&settings.vm),
@@ -126,6 +155,8 @@
             loan_failures: RefCell::default(),
             knowledge: RefCell::default(),
             news_added: Notify::new(),
+            ticked_at: Cell::new(None),
+            resumed_at: Cell::new(Millis::ZERO),
             is_isolated: Cell::new(false),
             grantor: RefCell::default(),
             unresponsive_grantors: RefCell::default(),
@@ -152,9 +183,25 @@
         self.clock.now()
     }
 
+    /// Finds out whether this entry was frozen, before it acts on what it knew. What other entries
+    /// have learnt meanwhile arrives later than the requests of callers.
+    pub fn note_freeze(&self) {
+        let now = self.now();
+        let since = self.ticked_at.get().map(|at| now.saturating_sub(at));
+        if since.is_some_and(|since| since >= FREEZE_TIME) {
+            self.ticked_at.set(Some(now));
+            self.resumed_at.set(now);
+            self.fleet.borrow_mut().resume(now);
+            spdlog::warn!("process_resumed", kv: {
+                frozen_ms = since.map_or(0, |since| since.get()),
+            });
+        }
+    }
+
     /// Returns true if the platform may route callers to this entry.
     pub fn is_ready(&self) -> bool {
-        self.config.borrow().is_some() && self.targets_loaded.get() && !self.is_stopping()
+        let has_read = self.targets_loaded.get() && self.evacuations_loaded.get();
+        self.config.borrow().is_some() && has_read && !self.is_stopping()
     }
 
     /// Returns true once the shutdown signal has arrived.
@@ -248,6 +295,36 @@
         self.limit_changed.notify_one();
     }
 
+    /// Records that a target stays cold for at least this long.
+    pub fn mark_cold(&self, target: &TargetIncarnation, left: Millis, source: ColdSource) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let known = fleet
+            .get(&target.id)
+            .map(|known| known.record.incarnation());
+        if known.as_ref() != Some(target) {
+            return;
+        }
+        let is_new = fleet.mark_cold(&target.id, left, now);
+        // The fleet itself marks a target that was restarted, before this.
+        let is_restart = source == ColdSource::Restart && fleet.cold(&target.id, now).is_some();
+        drop(fleet);
+        if is_new || is_restart {
+            self.log_cold(&target.id, source);
+        }
+    }
+
+    /// Logs that a target has become cold.
+    pub fn log_cold(&self, target: &TargetId, source: ColdSource) {
+        let left = self.fleet.borrow().cold(target, self.now());
+        spdlog::info!("target_cold", kv: {
+            target = target.as_str(),
+            left_ms = left.map_or(0, |cold| cold.left.get()),
+            source = source.to_string(),
+        });
+        self.metrics.incr(cyc_obs::names::TARGETS_COLD).ok();
+    }
+
     /// Records that a prompt with these shared parts was answered.
     pub fn clear_prompt(&self, parts: &[PromptPart]) {
         let mut knowledge = self.knowledge.borrow_mut();
