An answer counts only if it is that of its request; the service is drawn once

Cause: `Attempts::check` evaluated 421, not-executed and the load before the id, so an extra answer on a kept connection was taken for the answer to the next request (503 for a booking that runs). `reserve` used the tokens per event of the first service of the route, whichever one served the request.

Change: an answer with another id, or without one on a connection that has carried a request before, ends the attempt with unknown outcome, and nothing in it is used; the connection is dropped. An answer that is passed on still has to name its request. A 503 or 429 of a second target is not passed on once another one may have run the request. The service is drawn at admission.

--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -43,11 +43,19 @@
     /// Sends the next request on the connection.
     pub sender: SendRequest<Full<Bytes>>,
     /// No request was sent on the connection before.
-    pub is_fresh: bool,
+    is_fresh: bool,
     task: JoinHandle<()>,
     _guard: OpenGuard,
 }
 
+impl Conn {
+    /// Records that a request is sent on the connection. Returns true if it is the first one, so that
+    /// no answer to another request can arrive.
+    pub fn start_request(&mut self) -> bool {
+        std::mem::replace(&mut self.is_fresh, false)
+    }
+}
+
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
@@ -138,14 +146,13 @@
     }
 
     /// Returns a connection to the pool once its response was read to the end.
-    pub fn put_idle(&self, mut conn: Conn, keep_alive: Option<Millis>) {
+    pub fn put_idle(&self, conn: Conn, keep_alive: Option<Millis>) {
         if conn.sender.is_closed() {
             return;
         }
         let limit = keep_alive.map_or(DEFAULT_IDLE_LIMIT, |limit| {
             limit.saturating_sub(IDLE_MARGIN)
         });
-        conn.is_fresh = false;
         let until = Instant::now() + limit.min(DEFAULT_IDLE_LIMIT).duration();
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cadence::{CountedExt as _, Timed as _};
-use cyc_types::{ClientAccountId, ErrorKind, Millis, Refusal, TargetId, Tokens};
+use cyc_types::{ClientAccountId, ErrorKind, Millis, Refusal, ServiceId, TargetId, Tokens};
 use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -119,6 +119,9 @@
     pub call: Call,
     /// The matching route.
     pub route: std::sync::Arc<Route>,
+    /// The service of the route that serves the request, drawn once: tokens, connections and the retry
+    /// budget are those of the service that answers.
+    pub service: ServiceId,
     /// The account that pays, if any.
     pub account: Option<std::sync::Arc<Account>>,
     /// The configuration that applies until the request ends.
@@ -383,6 +386,7 @@
     let is_probe = admit_prompt(state, &call)?;
     Ok(AdmittedRequest {
         is_probe,
+        service: route.service(rand::random()).clone(),
         route: route.clone(),
         account: account.cloned(),
         deadline: Instant::now() + time_limit.duration(),
@@ -448,17 +452,15 @@
 
 /// Reserves the maximum cost of the request, waiting briefly for a draw or a loan.
 async fn reserve<P>(state: &Rc<State<P>>, request: &AdmittedRequest) -> Result<Bill<P>, Refusal> {
-    let tokens_per_event = request.route.splits.first().and_then(|split| {
-        let service = request.config.service(&split.service)?;
-        Some(u64::from(service.tokens_per_event))
-    });
+    let service = request.config.service(&request.service);
+    let tokens_per_event = service.map_or(1, |service| u64::from(service.tokens_per_event));
     let prompt = request.call.prompt.as_ref();
     let mut bill = Bill {
         state: state.clone(),
         _in_flight: InFlightGuard::new(state),
         reservation: None,
         input: prompt.map_or(Tokens::ZERO, |prompt| prompt.input),
-        tokens_per_event: tokens_per_event.unwrap_or(1),
+        tokens_per_event,
         has_run: false,
         is_delivered: false,
         events: 0,
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, rc::Rc};
 
 use bytes::Bytes;
-use cyc_types::{ErrorKind, Millis, Refusal, ServiceId, TargetId};
+use cyc_types::{ErrorKind, Millis, Refusal, TargetId};
 use http::{Request, Response, StatusCode, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -253,7 +253,6 @@
     pub tried: Vec<TargetId>,
     /// Estimate for the last target.
     pub estimate: Millis,
-    service: ServiceId,
     /// A target may have run the request.
     may_have_run: bool,
     /// Updated with each send, in case that the caller disconnects before the response.
@@ -268,7 +267,6 @@
         bill: Bill<P>,
         progress: Rc<RefCell<RequestLog>>,
     ) -> Self {
-        let service = request.route.service(rand::random()).clone();
         Self {
             state,
             request,
@@ -276,7 +274,6 @@
             sends: 0,
             tried: Vec::new(),
             estimate: Millis::ZERO,
-            service,
             may_have_run: false,
             progress,
         }
@@ -357,7 +354,7 @@
         let now = self.state.now();
         let entries = self.state.entries();
         let mut retry_budget = self.state.retry_budget.borrow_mut();
-        retry_budget.take(&self.service, entries, now)
+        retry_budget.take(&self.request.service, entries, now)
     }
 
     /// Returns true if targets have crashed on a part of the prompt since the request was admitted.
@@ -381,7 +378,7 @@
             .state
             .fleet
             .borrow()
-            .limit_wait(&self.service, self.state.now());
+            .limit_wait(&self.request.service, self.state.now());
         match wait {
             Some(wait) if !self.may_have_run => {
                 refusal.with_retry_after(retry_after(wait.max(RETRY_AFTER_TARGET)))
@@ -395,9 +392,9 @@
         let entries = self.state.entries();
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.set_entries(entries);
-        let service = self.request.config.service(&self.service);
+        let service = self.request.config.service(&self.request.service);
         let required = Requirements {
-            service: &self.service,
+            service: &self.request.service,
             connections: connection_limit(service, entries),
             tried: &self.tried,
             may_probe: true,
@@ -480,10 +477,11 @@
         };
         let req = self.build_request(target, resume_after);
         let req = req.map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        let is_first = conn.start_request();
         let sent = conn.sender.try_send_request(req);
         if self.sends == 0 {
             let mut retry_budget = self.state.retry_budget.borrow_mut();
-            retry_budget.record_first_attempt(&self.service, self.state.now());
+            retry_budget.record_first_attempt(&self.request.service, self.state.now());
         }
         self.sends += 1;
         self.update_log(&mut self.progress.borrow_mut());
@@ -519,7 +517,7 @@
             }
             Ok(Ok(received)) => received,
         };
-        let response = self.check(received, conn, pool, attempt);
+        let response = self.check(received, is_first, conn, pool, attempt);
         match &response {
             // A target that responds has run the request, even if the response breaks off later.
             Ok(_) => self.may_have_run = true,
@@ -572,24 +570,27 @@
         Ok(req)
     }
 
-    /// Accepts a response only if it belongs to this request and comes from the target itself.
+    /// Accepts a response only if it belongs to this request and comes from the target itself. Nothing
+    /// in another one is acted upon: the request may have run. `is_first` tells whether the request is
+    /// the first one on its connection, so that a response without an id can only be its own.
     fn check(
         &self,
         received: Response<Incoming>,
+        is_first: bool,
         conn: Conn,
         pool: Rc<Pool>,
         attempt: ActiveAttempt<P>,
     ) -> Result<TargetResponse<P>, AttemptError> {
         let (head, body) = received.into_parts();
         let info = self.state.protocol.decode_response(&head);
-        if let Some(load) = info.load {
-            let mut fleet = self.state.fleet.borrow_mut();
-            fleet.record_load(&attempt.target, load, self.state.now());
-        }
-        let is_own = info.id.as_ref() == Some(&self.request.call.id);
-        if is_own && !info.is_misdirected {
-            self.state
-                .record_limit(&attempt.target, info.limit, attempt.sent_at);
+        let is_own = match &info.id {
+            Some(id) => *id == self.request.call.id,
+            None => is_first,
+        };
+        if !is_own {
+            attempt.end(Verdict::Failed);
+            let reason = format!("not the answer to this request: {}", head.status);
+            return Err(AttemptError::Unknown(reason));
         }
         if info.is_misdirected {
             attempt.end(Verdict::NotReached);
@@ -597,6 +598,12 @@
                 "the address belongs to another target".into(),
             ));
         }
+        if let Some(load) = info.load {
+            let mut fleet = self.state.fleet.borrow_mut();
+            fleet.record_load(&attempt.target, load, self.state.now());
+        }
+        self.state
+            .record_limit(&attempt.target, info.limit, attempt.sent_at);
         if info.is_not_run {
             attempt.end(Verdict::Full);
             return Err(AttemptError::NotRun(format!(
@@ -606,14 +613,24 @@
         }
         let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
         let needs_signature = head.status.is_success() || guarantees_not_run(head.status);
-        if !is_own || is_encoded || (needs_signature && !info.is_signed) {
+        // An answer that is passed on names its request, so that the caller can check it.
+        let is_named = info.id.is_some();
+        if !is_named || is_encoded || (needs_signature && !info.is_signed) {
             attempt.end(Verdict::Failed);
             let reason = format!(
-                "not the answer to this request: {} own={is_own} encoded={is_encoded} signed={}",
+                "not an answer of the target itself: {} named={is_named} encoded={is_encoded} signed={}",
                 head.status, info.is_signed
             );
             return Err(AttemptError::Unknown(reason));
         }
+        if self.may_have_run && guarantees_not_run(head.status) {
+            // True of this target only: passed on, it would promise that no target has run it.
+            attempt.end(Verdict::Full);
+            return Err(AttemptError::NotRun(format!(
+                "refused with {} after another target may have run it",
+                head.status
+            )));
+        }
         Ok(TargetResponse {
             head,
             body,
