Leaving targets get nothing more, and targets that want no requests get none

Cause: `Server-Leaving` and the `Retry-After` of a rejection were not decoded; an entry learnt from the store only that a target leaves.

Change: the crate `cyc-signal` decides. What a run of a target announces is kept beside its state, also while its registration is away, and asked for candidates, probes, the last resort and right before each send. Connections to a leaving target are closed and not opened for liveness checks. Leaving targets are passed on in news; pauses are not, since a target says them to one entry. If all targets of a service want nothing, callers get 503 with the time until the first one takes requests. Items of news that cannot be read are left out one by one.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -6,9 +6,9 @@
 };
 
 use bytes::Bytes;
-use cyc_types::Refusal;
+use cyc_types::{Millis, Refusal};
 use futures::Stream;
-use http::{HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use hyper::body::{Body, Frame, SizeHint};
 
 /// A response truncated before its end. The connection to the caller is closed without terminating
@@ -82,10 +82,15 @@
     let json = HeaderValue::from_static("application/json");
     headers.insert(header::CONTENT_TYPE, json);
     if let Some(after) = refusal.retry_after {
-        let seconds = format!("{:.3}", after.get() as f64 / 1_000.0);
-        if let Ok(value) = HeaderValue::from_str(&seconds) {
-            headers.insert(header::RETRY_AFTER, value);
-        }
+        insert_retry_after(headers, after);
     }
     response
 }
+
+/// Sets `Retry-After`, in place of any others.
+pub fn insert_retry_after(headers: &mut HeaderMap, after: Millis) {
+    let seconds = format!("{:.3}", after.get() as f64 / 1_000.0);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        headers.insert(header::RETRY_AFTER, value);
+    }
+}
--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -91,6 +91,8 @@
     addr: SocketAddr,
     idle: RefCell<Vec<Idle>>,
     open: Rc<Cell<u32>>,
+    /// Connections are not kept any more.
+    is_closed: Cell<bool>,
 }
 
 impl Pool {
@@ -100,6 +102,7 @@
             addr,
             idle: RefCell::new(Vec::new()),
             open: Rc::new(Cell::new(0)),
+            is_closed: Cell::new(false),
         }
     }
 
@@ -145,9 +148,15 @@
         })
     }
 
+    /// Closes the idle connections, and those in use after their response.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+        self.idle.borrow_mut().clear();
+    }
+
     /// Returns a connection to the pool once its response was read to the end.
     pub fn put_idle(&self, conn: Conn, keep_alive: Option<Millis>) {
-        if conn.sender.is_closed() {
+        if conn.sender.is_closed() || self.is_closed.get() {
             return;
         }
         let limit = keep_alive.map_or(DEFAULT_IDLE_LIMIT, |limit| {
--- a/crates/gateway/src/control/liveness.rs
+++ b/crates/gateway/src/control/liveness.rs
@@ -140,7 +140,9 @@
     let pool = {
         let fleet = state.fleet.borrow();
         let known = fleet.get(&target.id).filter(|known| {
-            known.record.incarnation() == *target && known.record.state == TargetState::Ready
+            known.record.incarnation() == *target
+                && known.record.state == TargetState::Ready
+                && !known.announcement().is_leaving()
         });
         known.map(|known| known.pool.clone())
     };
--- a/crates/gateway/src/control/news.rs
+++ b/crates/gateway/src/control/news.rs
@@ -59,6 +59,7 @@
 pub async fn compare_news<P: Protocol>(state: Rc<State<P>>) {
     loop {
         sleep(INTERVAL.duration()).await;
+        state.forget_gone_targets();
         let is_changed = state.knowledge.borrow_mut().expire(state.now());
         if is_changed {
             state.news_added.notify_one();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 };
 
 use cyc_route::{Availability, Failure, Health, health};
+use cyc_signal::{Announcement, Retained, ServiceWait, Signals, service_wait};
 use cyc_types::{AvailabilityZone, Millis, PerSecond, ServiceId, TargetId, VmId, hash};
 use rand::{SeedableRng as _, rngs::StdRng};
 
@@ -124,6 +125,7 @@
     limit: Option<TargetLimit>,
     /// When the target last answered without a limit.
     unlimited_at: Millis,
+    announcement: Announcement,
     slowness: f64,
     slowness_at: Millis,
     cached: HashMap<PartId, Millis>,
@@ -147,12 +149,27 @@
             load: None,
             limit: None,
             unlimited_at: Millis::ZERO,
+            announcement: Announcement::default(),
             slowness: 1.0,
             slowness_at: now,
             cached: HashMap::new(),
         }
     }
 
+    /// Takes over what this run of the target has announced before.
+    fn with_announcement(mut self, announcement: Announcement) -> Self {
+        self.announcement = announcement;
+        if announcement.is_leaving() {
+            self.pool.close();
+        }
+        self
+    }
+
+    /// What the target has announced about itself.
+    pub fn announcement(&self) -> &Announcement {
+        &self.announcement
+    }
+
     fn slowness(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.slowness_at).get() as f64;
         let kept = 0.5_f64.powf(age / SLOWNESS_HALF_LIFE.get() as f64);
@@ -258,6 +275,7 @@
     /// Running entries, assumed to send equal load. Invariant: at least 1.
     entries: usize,
     targets: BTreeMap<TargetId, Target>,
+    retained: Retained<TargetIncarnation>,
     /// The ready targets of each service.
     services: HashMap<ServiceId, ServiceTargets>,
     /// Prompts that this entry has sent to the targets of each service, by lane.
@@ -275,6 +293,7 @@
             options,
             entries: 1,
             targets: BTreeMap::new(),
+            retained: Retained::default(),
             services: HashMap::new(),
             prefill: HashMap::new(),
             demand: PrefixDemand::default(),
@@ -289,26 +308,42 @@
     }
 
     /// Replaces the list of targets. The state of a target that was restarted or has a new address
-    /// is discarded.
+    /// is discarded, except what this run of it has announced.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Record>, now: Millis) {
         let mut old = std::mem::take(&mut self.targets);
         for record in records {
-            let same = old.remove(&record.id).filter(|target| {
-                target.record.started_at == record.started_at && target.record.addr == record.addr
-            });
-            let target = match same {
-                Some(mut target) => {
+            let target = match old.remove(&record.id) {
+                Some(mut target)
+                    if target.record.started_at == record.started_at
+                        && target.record.addr == record.addr =>
+                {
                     target.record = record.clone();
                     target
                 }
-                None => Target::new(record.clone(), now),
+                before => {
+                    self.retain(before.as_ref(), now);
+                    let announcement = self.retained.take(&record.incarnation(), now);
+                    Target::new(record.clone(), now).with_announcement(announcement)
+                }
             };
             self.targets.insert(record.id.clone(), target);
         }
+        for target in old.values() {
+            self.retain(Some(target), now);
+        }
         self.assign_lanes();
         self.assign_services();
     }
 
+    /// Keeps what a target has announced in case that its registration comes back. Without a start time
+    /// a later run cannot be told from this one.
+    fn retain(&mut self, target: Option<&Target>, now: Millis) {
+        if let Some(target) = target.filter(|target| target.record.started_at.is_some()) {
+            let incarnation = target.record.incarnation();
+            self.retained.keep(incarnation, target.announcement, now);
+        }
+    }
+
     fn assign_services(&mut self) {
         self.services.clear();
         let ready = self.targets.values();
@@ -384,6 +419,7 @@
                 .limit
                 .is_none_or(|limit| required.may_ask && limit.wait(now).is_zero());
             let is_usable = is_open
+                && target.announcement.may_send(now)
                 && !required.tried.contains(id)
                 && target.pool.has_room(required.connections);
             is_usable.then(|| target.health.availability(now))
@@ -476,6 +512,59 @@
         }
     }
 
+    /// Returns true if a request may be sent to this run of a target now.
+    pub fn may_send(&self, target: &TargetIncarnation, now: Millis) -> bool {
+        self.targets.get(&target.id).is_some_and(|known| {
+            known.record.incarnation() == *target
+                && known.record.state == TargetState::Ready
+                && known.announcement.may_send(now)
+        })
+    }
+
+    /// Stores what a run of a target announces about itself. Returns whether its leaving and its pause
+    /// are new.
+    pub fn record_signals(
+        &mut self,
+        target: &TargetIncarnation,
+        signals: Signals,
+        now: Millis,
+    ) -> (bool, bool) {
+        let known = self.targets.get_mut(&target.id);
+        let known = known.filter(|known| known.record.incarnation() == *target);
+        let mut retained = Announcement::default();
+        let is_known = known.is_some();
+        let pool = known.as_ref().map(|known| known.pool.clone());
+        let announcement = match known {
+            Some(known) => &mut known.announcement,
+            None => {
+                retained = self.retained.take(target, now);
+                &mut retained
+            }
+        };
+        let is_leaving = signals.is_leaving && announcement.leave();
+        let is_paused = signals
+            .pause
+            .is_some_and(|pause| announcement.pause(pause, now));
+        if let Some(pool) = pool.filter(|_| is_leaving) {
+            pool.close();
+        }
+        if !is_known && target.started_at.is_some() {
+            self.retained.keep(target.clone(), retained, now);
+        }
+        (is_leaving, is_paused)
+    }
+
+    /// When the targets of a service take requests, as far as they announce it.
+    pub fn service_wait(&self, service: &ServiceId, now: Millis) -> ServiceWait {
+        let ready = self.targets.values().filter(|target| {
+            target.record.service == *service && target.record.state == TargetState::Ready
+        });
+        service_wait(ready.map(|target| {
+            let limit_wait = target.limit.map(|limit| limit.wait(now));
+            (target.announcement.standing(now), limit_wait)
+        }))
+    }
+
     /// Ejects a target that another entry found crashed this long ago. Returns true if it was in use.
     pub fn learn_crash(&mut self, target: &TargetIncarnation, age: Millis, now: Millis) -> bool {
         let Some(known) = self.targets.get_mut(&target.id) else {
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -7,14 +7,17 @@
 
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 
+use cyc_signal::{KnownLeaving, LeavingReport};
 use cyc_types::{Millis, VmId};
 use rand::{Rng, seq::IndexedRandom as _};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
 use crate::{
     crash::{CrashEvidence, CrashReport, CrashTime},
     limit::{KnownLimits, LimitReport},
+    member::TargetIncarnation,
 };
 
 /// Entries that are told news at once.
@@ -28,17 +31,36 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// Crashes of targets.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable_items")]
     pub crashes: Vec<CrashReport>,
     /// Limits that targets name.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable_items")]
     pub limits: Vec<LimitReport>,
+    /// Targets that leave.
+    #[serde(default, deserialize_with = "readable_items")]
+    pub leaving: Vec<LeavingReport<TargetIncarnation>>,
+}
+
+/// Decodes the items of a list one by one and leaves out those that cannot be read, so that an entry
+/// of another version, or a faulty one, hides no other news.
+fn readable_items<'de, D: Deserializer<'de>, T: DeserializeOwned>(
+    deserializer: D,
+) -> Result<Vec<T>, D::Error> {
+    let items = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+    let decode = |item: &RawValue| {
+        serde_json::from_str(item.get())
+            .map_err(|error| {
+                spdlog::warn!("news_item_unreadable", kv: { error = error.to_string() });
+            })
+            .ok()
+    };
+    Ok(items.iter().filter_map(|item| decode(item)).collect())
 }
 
 impl News {
     /// Returns true if there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.limits.is_empty()
+        self.crashes.is_empty() && self.limits.is_empty() && self.leaving.is_empty()
     }
 }
 
@@ -61,7 +83,7 @@
     /// Equal for entries that know the same.
     pub fingerprint: u64,
     /// When the known crashes happened.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable_items")]
     pub crash_times: Vec<CrashTime>,
 }
 
@@ -81,6 +103,9 @@
     pub crashes: CrashEvidence,
     /// Limits that targets name.
     pub limits: KnownLimits,
+    /// Targets that leave. How long a target wants no requests is not told: it says so to one entry
+    /// only.
+    pub leaving: KnownLeaving<TargetIncarnation>,
 }
 
 impl Knowledge {
@@ -88,6 +113,7 @@
     pub fn merge(&mut self, news: News, now: Millis) {
         self.crashes.merge(news.crashes, now);
         self.limits.merge(&news.limits, now);
+        self.leaving.merge(&news.leaving, now);
     }
 
     /// News since the last call, for other entries.
@@ -95,6 +121,7 @@
         News {
             crashes: self.crashes.take_news(now),
             limits: self.limits.take_news(now),
+            leaving: self.leaving.take_news(now),
         }
     }
 
@@ -103,6 +130,7 @@
         News {
             crashes: self.crashes.reports(now),
             limits: self.limits.reports(now),
+            leaving: self.leaving.reports(now),
         }
     }
 
@@ -145,12 +173,16 @@
         for (target, limit) in self.limits.iter() {
             (target, limit.get().to_bits()).hash(&mut hasher);
         }
+        for target in self.leaving.iter() {
+            target.hash(&mut hasher);
+        }
         hasher.finish()
     }
 
     /// Forgets what is out of date. Returns true if there was any crash.
     pub fn expire(&mut self, now: Millis) -> bool {
         self.limits.expire(now);
+        self.leaving.expire(now);
         self.crashes.expire(now)
     }
 }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -1,5 +1,6 @@
 //! Traits that abstract the protocol of callers and targets, and the store.
 
+use cyc_signal::Signals;
 use cyc_types::{ClientAccountId, Millis, PerSecond, TargetId, Version, VmId};
 use http::{HeaderMap, request, response};
 use serde::{Deserialize, Serialize};
@@ -65,6 +66,8 @@
     pub load: Option<Load>,
     /// Limit of requests a second that the target names for all entries together.
     pub limit: StatedLimit,
+    /// What the target announces about itself.
+    pub signals: Signals,
     /// How long the target keeps an idle connection open.
     pub keep_alive: Option<Millis>,
 }
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -3,6 +3,8 @@
 use std::{cell::RefCell, rc::Rc};
 
 use bytes::Bytes;
+use cadence::CountedExt as _;
+use cyc_signal::ServiceWait;
 use cyc_types::{ErrorKind, Millis, Refusal, TargetId};
 use http::{Request, Response, StatusCode, Uri, response};
 use http_body_util::Full;
@@ -19,6 +21,7 @@
     control::{self, BrokenAnswer},
     crash::SOUND_AFTER,
     fleet::{FinishedPrefill, Requirements, Verdict},
+    member::TargetIncarnation,
     port::{Protocol, ResponseInfo, TargetRequestInfo},
     state::State,
 };
@@ -31,6 +34,8 @@
 /// Part of a target's connections that entries use: the number of entries is known with a delay,
 /// and a target accepts fewer connections while many requests are queued there.
 const CONNECTIONS_PERCENT: u64 = 90;
+/// Part of an announced wait that is added to it at random.
+const JITTER_DIVISOR: u64 = 4;
 /// A request that was denied by this many limited targets is sent to targets without a limit only.
 const MAX_DENIALS: u32 = 3;
 /// Prompt parts in a log line.
@@ -42,6 +47,8 @@
 pub struct ActiveAttempt<P> {
     state: Rc<State<P>>,
     target: TargetId,
+    /// The run of the target that gets the request.
+    incarnation: TargetIncarnation,
     /// Prompt tokens that the target has not prefilled.
     pending_tokens: u64,
     sent_at: Millis,
@@ -60,14 +67,20 @@
 }
 
 impl<P> ActiveAttempt<P> {
-    fn new(state: Rc<State<P>>, target: TargetId, choice: &Choice, call: &Call) -> Self {
+    fn new(
+        state: Rc<State<P>>,
+        incarnation: TargetIncarnation,
+        choice: &Choice,
+        call: &Call,
+    ) -> Self {
         let now = state.now();
         let mut fleet = state.fleet.borrow_mut();
-        fleet.start_attempt(&target, choice.uncached, now);
+        fleet.start_attempt(&incarnation.id, choice.uncached, now);
         drop(fleet);
         Self {
             state,
-            target,
+            target: incarnation.id.clone(),
+            incarnation,
             pending_tokens: choice.uncached,
             sent_at: now,
             expected: choice.estimate,
@@ -373,18 +386,26 @@
     }
 
     fn no_target_refusal(&self) -> Refusal {
-        let refusal = self.failure_refusal("no target of the service can take it");
-        let wait = self
-            .state
-            .fleet
-            .borrow()
-            .limit_wait(&self.request.service, self.state.now());
-        match wait {
-            Some(wait) if !self.may_have_run => {
-                refusal.with_retry_after(retry_after(wait.max(RETRY_AFTER_TARGET)))
-            }
-            _ => refusal,
+        let reason = "no target of the service can take it";
+        if self.may_have_run {
+            return self.failure_refusal(reason);
         }
+        let (now, service) = (self.state.now(), &self.request.service);
+        let fleet = self.state.fleet.borrow();
+        let wait = match (
+            fleet.service_wait(service, now),
+            fleet.limit_wait(service, now),
+        ) {
+            (ServiceWait::Open, Some(wait)) => retry_after(wait.max(RETRY_AFTER_TARGET)),
+            (wait, _) => return_time(wait),
+        };
+        Refusal::new(ErrorKind::NoTarget, reason).with_retry_after(wait)
+    }
+
+    /// `Retry-After` of a request that a target has rejected.
+    pub fn retry_after_target(&self) -> Millis {
+        let fleet = self.state.fleet.borrow();
+        return_time(fleet.service_wait(&self.request.service, self.state.now()))
     }
 
     fn choose(&self, may_ask: bool) -> Option<(TargetId, Choice)> {
@@ -428,7 +449,7 @@
             ErrorKind::Overloaded,
             "the time is over before a target was reached",
         )
-        .with_retry_after(retry_after(RETRY_AFTER_TARGET))
+        .with_retry_after(self.retry_after_target())
     }
 
     fn prompt_refusal(&self) -> Refusal {
@@ -444,7 +465,7 @@
         if self.may_have_run {
             return Refusal::new(ErrorKind::OutcomeUnknown, reason);
         }
-        Refusal::new(ErrorKind::NoTarget, reason).with_retry_after(retry_after(RETRY_AFTER_TARGET))
+        Refusal::new(ErrorKind::NoTarget, reason).with_retry_after(self.retry_after_target())
     }
 
     async fn send(
@@ -454,17 +475,14 @@
         resume_after: Option<u64>,
     ) -> Result<TargetResponse<P>, AttemptError> {
         self.tried.push(target.clone());
-        let pool = {
+        let (pool, incarnation) = {
             let fleet = self.state.fleet.borrow();
-            let known = fleet.get(target).map(|known| known.pool.clone());
+            let known = fleet.get(target);
+            let known = known.map(|known| (known.pool.clone(), known.record.incarnation()));
             known.ok_or_else(|| AttemptError::NotSent("the target has just left".into()))?
         };
-        let attempt = ActiveAttempt::new(
-            self.state.clone(),
-            target.clone(),
-            choice,
-            &self.request.call,
-        );
+        let attempt =
+            ActiveAttempt::new(self.state.clone(), incarnation, choice, &self.request.call);
         let mut conn = match pool.take_idle() {
             Some(conn) => conn,
             None => match pool.connect().await {
@@ -477,6 +495,19 @@
         };
         let req = self.build_request(target, resume_after);
         let req = req.map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        // The grant and the connection may have taken time, in which other answers have arrived.
+        let now = self.state.now();
+        if !self
+            .state
+            .fleet
+            .borrow()
+            .may_send(&attempt.incarnation, now)
+        {
+            self.state.metrics.incr(cyc_obs::names::SENDS_WITHHELD).ok();
+            attempt.end(Verdict::Abandoned);
+            let reason = "the target takes no requests any more";
+            return Err(AttemptError::NotSent(reason.into()));
+        }
         let is_first = conn.start_request();
         let sent = conn.sender.try_send_request(req);
         if self.sends == 0 {
@@ -604,6 +635,8 @@
         }
         self.state
             .record_limit(&attempt.target, info.limit, attempt.sent_at);
+        self.state
+            .record_signals(&attempt.incarnation, info.signals);
         if info.is_not_run {
             attempt.end(Verdict::Full);
             return Err(AttemptError::NotRun(format!(
@@ -642,6 +675,19 @@
     }
 }
 
+/// When a caller may return: not before the first of the targets takes requests again, if all of them
+/// have announced that they take none. A random part is added, so that callers do not return
+/// together; it does not double long waits.
+fn return_time(wait: ServiceWait) -> Millis {
+    match wait {
+        ServiceWait::Until(wait) => {
+            let most = RETRY_AFTER_TARGET.get().max(wait.get() / JITTER_DIVISOR);
+            wait + Millis::new(rand::random_range(0..=most))
+        }
+        ServiceWait::Open | ServiceWait::Leaving => retry_after(RETRY_AFTER_TARGET),
+    }
+}
+
 /// Connections that this entry may have open to one target of a service.
 fn connection_limit(service: Option<&Service>, entries: usize) -> u32 {
     let all = service.map_or(u32::MAX, |service| service.max_connections);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,9 @@
     rc::Rc,
 };
 
+use cadence::CountedExt as _;
 use cyc_obs::Metrics;
+use cyc_signal::Signals;
 use cyc_types::{ClientAccountId, Clock, Millis, PerSecond, TargetId, VmId};
 use tokio::{
     sync::{Notify, watch},
@@ -40,6 +42,11 @@
     });
 }
 
+/// The source of a statement of a target itself, in log lines.
+const SOURCE_TARGET: &str = "target";
+/// The source of a statement that another entry passed on, in log lines.
+const SOURCE_ENTRY: &str = "entry";
+
 /// The state of one entry.
 pub struct State<P> {
     /// VM of this entry.
@@ -197,14 +204,25 @@
         self.news_added.notify_one();
     }
 
-    /// Applies what other entries have learnt to the targets: limits, and crashes that this entry
-    /// does not know yet.
+    /// Applies what other entries have learnt to the targets: limits, leaving targets, and crashes that
+    /// this entry does not know yet.
     pub fn apply_news(&self, news: &News, now: Millis) {
         let mut fleet = self.fleet.borrow_mut();
         for report in &news.limits {
             let said_at = now.saturating_sub(report.age);
             if fleet.learn_limit(&report.target, report.limit, said_at) {
-                log_limit(&report.target, Some(report.limit), "entry");
+                log_limit(&report.target, Some(report.limit), SOURCE_ENTRY);
+            }
+        }
+        // Without a start time, a later run could not be told from the one that leaves.
+        let leaving = news.leaving.iter();
+        for report in leaving.filter(|report| report.target.started_at.is_some()) {
+            let signals = Signals {
+                is_leaving: true,
+                pause: None,
+            };
+            if fleet.record_signals(&report.target, signals, now).0 {
+                self.log_leaving(&report.target, SOURCE_ENTRY);
             }
         }
         let knowledge = self.knowledge.borrow();
@@ -239,7 +257,7 @@
         let Some((target, limit)) = changed else {
             return;
         };
-        log_limit(&target, limit, "target");
+        log_limit(&target, limit, SOURCE_TARGET);
         if limit.is_none() {
             self.knowledge.borrow_mut().limits.remove(&target);
         }
@@ -248,6 +266,51 @@
         self.limit_changed.notify_one();
     }
 
+    /// Records what a run of a target announced about itself in an answer to this entry.
+    pub fn record_signals(&self, target: &TargetIncarnation, signals: Signals) {
+        if signals.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let (is_leaving, is_paused) = fleet.record_signals(target, signals, now);
+        drop(fleet);
+        if is_leaving {
+            self.log_leaving(target, SOURCE_TARGET);
+            // Without a start time, other entries could not tell a later run from this one.
+            if target.started_at.is_some() {
+                let mut knowledge = self.knowledge.borrow_mut();
+                if knowledge.leaving.record(target, Millis::ZERO, now) {
+                    self.news_added.notify_one();
+                }
+            }
+        }
+        if let Some(pause) = signals.pause.filter(|pause| !pause.is_zero()) {
+            self.metrics.incr(cyc_obs::names::TARGET_PAUSES).ok();
+            if is_paused {
+                spdlog::info!("target_paused", kv: {
+                    target = target.id.as_str(),
+                    pause_ms = pause.get(),
+                });
+            }
+        }
+    }
+
+    fn log_leaving(&self, target: &TargetIncarnation, source: &str) {
+        self.metrics.incr(cyc_obs::names::TARGETS_LEAVING).ok();
+        spdlog::info!("target_leaving", kv: { target = target.id.as_str(), source = source });
+    }
+
+    /// Forgets the leaving targets that are not registered any more.
+    pub fn forget_gone_targets(&self) {
+        let fleet = self.fleet.borrow();
+        let mut knowledge = self.knowledge.borrow_mut();
+        knowledge.leaving.set_registered(|target| {
+            let known = fleet.get(&target.id);
+            known.is_some_and(|known| known.record.incarnation() == *target)
+        });
+    }
+
     /// Records that a prompt with these shared parts was answered.
     pub fn clear_prompt(&self, parts: &[PromptPart]) {
         let mut knowledge = self.knowledge.borrow_mut();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    answer::{ResponseBody, Truncated},
+    answer::{ResponseBody, Truncated, insert_retry_after},
     config::RouteKind,
     event::Splitter,
     fleet::Verdict,
@@ -148,6 +148,10 @@
     }
     strip_connection(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
+    if info.signals.pause.is_some() {
+        // What the target wants is for this entry; the caller may be served by another target before.
+        insert_retry_after(&mut head.headers, attempts.retry_after_target());
+    }
     let arrived = attempts.request.arrived;
     log.first_byte_ms = attempts.state.now().saturating_sub(arrived).get();
     attempts.update_log(log);
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -6,6 +6,7 @@
     fleet::{Fleet, Requirements, Verdict},
     member::{Record, TargetIncarnation, TargetState},
 };
+use cyc_signal::{ServiceWait, Signals};
 use cyc_types::{Millis, ServiceId, TargetId, Tokens};
 use googletest::prelude::*;
 
@@ -62,6 +63,77 @@
     expect_that!(chosen(&mut fleet, &[id("i-3")], 0), some(eq(&id("i-2"))));
 }
 
+/// Guards against a leaving target that gets requests as a candidate, a probe or the last resort, and
+/// against its next run being taken for it; also if its registration comes back or changes its address.
+#[gtest]
+fn a_leaving_target_is_never_chosen_in_the_same_run() {
+    let ready = record("i-1", TargetState::Ready);
+    let mut fleet = fleet(std::slice::from_ref(&ready));
+    let now = Millis::new(100);
+    let leaving = Signals {
+        is_leaving: true,
+        pause: None,
+    };
+    fleet.end_attempt(&id("i-1"), 0, Verdict::NotReached, now);
+    expect_that!(
+        fleet.record_signals(&ready.incarnation(), leaving, now),
+        eq((true, false))
+    );
+    expect_false!(fleet.may_send(&ready.incarnation(), now));
+    for now in [200, 2_000, 60_000] {
+        expect_that!(chosen(&mut fleet, &[], now), none());
+    }
+    let wait = fleet.service_wait(&service(), now);
+    expect_that!(wait, eq(ServiceWait::Leaving));
+    fleet.set_targets(std::iter::empty(), now);
+    fleet.set_targets(std::iter::once(&ready), now);
+    expect_that!(chosen(&mut fleet, &[], 300), none());
+    let mut moved = ready.clone();
+    moved.addr = "127.0.0.1:9001".parse().unwrap();
+    fleet.set_targets(std::iter::once(&moved), now);
+    expect_that!(chosen(&mut fleet, &[], 400), none());
+    let mut restarted = moved.clone();
+    restarted.started_at = Some(2);
+    fleet.set_targets(std::iter::once(&restarted), now);
+    expect_that!(chosen(&mut fleet, &[], 500), some(eq(&id("i-1"))));
+    // A late answer of the run before, or news of it, say nothing about this one.
+    fleet.record_signals(&ready.incarnation(), leaving, now);
+    expect_true!(fleet.may_send(&restarted.incarnation(), now));
+    // News may arrive before the registration.
+    let next = record("i-2", TargetState::Ready);
+    fleet.record_signals(&next.incarnation(), leaving, now);
+    fleet.set_targets(std::iter::once(&next), now);
+    expect_false!(fleet.may_send(&next.incarnation(), now));
+}
+
+/// Guards against requests to a target that has just wanted none, and against a target that is lost
+/// afterwards.
+#[gtest]
+fn a_paused_target_is_chosen_again_after_its_time() {
+    let records = [
+        record("i-1", TargetState::Ready),
+        record("i-2", TargetState::Ready),
+    ];
+    let mut fleet = fleet(&records);
+    let pause = |ms: u64| Signals {
+        is_leaving: false,
+        pause: Some(Millis::new(ms)),
+    };
+    let now = Millis::new(100);
+    fleet.record_signals(&records[0].incarnation(), pause(2_000), now);
+    for now in 100..110 {
+        expect_that!(chosen(&mut fleet, &[], now), some(eq(&id("i-2"))));
+    }
+    expect_that!(fleet.service_wait(&service(), now), eq(ServiceWait::Open));
+    fleet.record_signals(&records[1].incarnation(), pause(1_500), now);
+    expect_that!(chosen(&mut fleet, &[], 1_599), none());
+    let wait = fleet.service_wait(&service(), Millis::new(600));
+    expect_that!(wait, eq(ServiceWait::Until(Millis::SECOND)));
+    expect_that!(chosen(&mut fleet, &[], 1_600), some(eq(&id("i-2"))));
+    let tried = [id("i-2")];
+    expect_that!(chosen(&mut fleet, &tried, 2_100), some(eq(&id("i-1"))));
+}
+
 /// A VM that has lost power lets connections hang: requests must avoid its target, but probe it
 /// again later.
 #[gtest]
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -9,6 +9,7 @@
     member::TargetIncarnation,
     news::{BATCH_TIME, Digest, FANOUT, INTERVAL, Knowledge, News, NewsReply, select},
 };
+use cyc_signal::{LeavingReport, MAX_KNOWN_LEAVING};
 use cyc_types::{Millis, PerSecond};
 use googletest::prelude::*;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
@@ -19,6 +20,7 @@
 /// The time within which all entries have to know what one entry says.
 const CONTACT_TIME: Millis = Millis::new(3_000);
 const SIZES: [usize; 3] = [2, 5, 103];
+const LEAVING_SIZES: [usize; 3] = [2, 20, 103];
 
 /// What happens to the messages between entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -214,6 +216,24 @@
         entry.sends_at.get_or_insert(now + BATCH_TIME);
     }
 
+    /// A target says to this entry that it leaves.
+    fn leave(&mut self, entry: usize, index: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[entry];
+        let leaving = &mut entry.knowledge.leaving;
+        leaving.record(&target(index), Millis::ZERO, now);
+        entry.sends_at.get_or_insert(now + BATCH_TIME);
+    }
+
+    /// Entries that know that a target leaves.
+    fn knowing(&self, index: usize) -> usize {
+        let knows = |entry: &&Entry| {
+            let mut leaving = entry.knowledge.leaving.iter();
+            leaving.any(|known| *known == target(index))
+        };
+        self.entries.iter().filter(knows).count()
+    }
+
     fn refusing(&self) -> usize {
         let refuses = |entry: &&Entry| entry.knowledge.crashes.is_refused(&parts(&[1, BAD]));
         self.entries.iter().filter(refuses).count()
@@ -386,6 +406,78 @@
     expect_that!(of_each[1], le(40.0));
 }
 
+/// Guards against a leaving target that only the entry knows that it has told, whatever happens to the
+/// messages, and against entries that learn it late: frozen ones, and those that start after the news.
+#[gtest]
+fn a_leaving_target_is_known_everywhere_within_the_contact_time() {
+    for count in LEAVING_SIZES {
+        for fault in FAULTS {
+            for seed in 0..3 {
+                let mut fleet = Fleet::new(count, fault, seed);
+                fleet.leave(0, 1);
+                fleet.leave(count - 1, 2);
+                // Where forwarded messages are lost or cut off, comparisons follow once a second.
+                let time = match fault {
+                    Fault::Lost | Fault::Cut => CONTACT_TIME + CONTACT_TIME,
+                    Fault::None | Fault::Twice | Fault::Late => CONTACT_TIME,
+                };
+                fleet.run(time);
+                let detail = format!("{count} entries, {fault:?}, seed {seed}");
+                assert_eq!([fleet.knowing(1), fleet.knowing(2)], [count; 2], "{detail}");
+            }
+        }
+        let mut fleet = Fleet::new(count, Fault::None, 5);
+        let last = count - 1;
+        fleet.entries[last].frozen_until = Millis::new(8_000);
+        fleet.leave(0, 1);
+        fleet.run(Millis::new(7_000));
+        fleet.entries[0].knowledge = Knowledge::default();
+        fleet.run(CONTACT_TIME);
+        assert_eq!(fleet.knowing(1), count, "{count} entries");
+        // Once an entry knows that the target is gone, it tells nobody.
+        for entry in &mut fleet.entries {
+            entry.knowledge.leaving.set_registered(|_| false);
+        }
+        let all = fleet.entries[last].knowledge.all(fleet.now);
+        assert!(all.is_empty(), "{count} entries");
+    }
+}
+
+/// Guards against entries of two versions that do not understand each other, and against one item that
+/// hides all other news.
+#[gtest]
+fn news_of_other_versions_and_with_unreadable_items_are_read() {
+    /// News as entries before this version read them.
+    #[derive(serde::Deserialize)]
+    struct OldNews {
+        crashes: Vec<CrashReport>,
+    }
+    let mut knowledge = Knowledge::default();
+    let now = Millis::new(5_000);
+    knowledge.leaving.record(&target(1), Millis::ZERO, now);
+    knowledge.crashes.record(&target(2), &parts(&[1, BAD]), now);
+    let text = serde_json::to_string(&knowledge.all(now)).unwrap();
+    let old: OldNews = serde_json::from_str(&text).unwrap();
+    expect_that!(old.crashes.len(), eq(1));
+    let of_old: News = serde_json::from_str(r#"{"crashes":[],"limits":[]}"#).unwrap();
+    expect_true!(of_old.is_empty());
+    let deep = "[".repeat(200) + &"]".repeat(200);
+    for item in [
+        r#"{"target":{"id":"\udcff"}}"#,
+        "1e400",
+        "null",
+        "{}",
+        &deep,
+    ] {
+        let mut broken = text.clone();
+        for list in ["\"crashes\":[", "\"leaving\":["] {
+            broken = broken.replace(list, &format!("{list}{item},"));
+        }
+        let read: News = serde_json::from_str(&broken).unwrap();
+        expect_that!(read, eq(&knowledge.all(now)), "{item}");
+    }
+}
+
 /// Guards against a message of another entry that takes this one down or makes its memory grow: random
 /// reports with extreme values, in any order.
 #[gtest]
@@ -426,6 +518,10 @@
                     limit,
                     age: Millis::new(number(&mut rng)),
                 }],
+                leaving: vec![LeavingReport {
+                    target: run.clone(),
+                    age: Millis::new(number(&mut rng)),
+                }],
             };
             // As it arrives: through its text form.
             let text = serde_json::to_string(&news).unwrap();
@@ -444,5 +540,6 @@
         let all = knowledge.all(Millis::new(5));
         expect_that!(all.crashes.len(), le(64));
         expect_that!(all.limits.len(), le(256));
+        expect_that!(all.leaving.len(), le(MAX_KNOWN_LEAVING));
     }
 }
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -43,3 +43,10 @@
 pub const TARGETS_CRASHED: &str = "targets_crashed";
 /// Counter: requests that were not sent to a target because of the limit that it names.
 pub const LIMIT_DENIALS: &str = "limit_denials";
+/// Counter: targets that said, to this entry or another one, that they leave.
+pub const TARGETS_LEAVING: &str = "targets_leaving";
+/// Counter: answers in which targets wanted no requests for a while.
+pub const TARGET_PAUSES: &str = "target_pauses";
+/// Counter: requests not sent to their target after it was chosen, because of what it had announced
+/// meanwhile.
+pub const SENDS_WITHHELD: &str = "sends_withheld";
