--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -478,6 +478,27 @@
     }
 }
 
+/// Guards against news that no entry reads because they are too long: messages of more than 128 KiB are
+/// refused as a whole.
+#[gtest]
+fn everything_that_an_entry_knows_fits_into_a_message() {
+    let mut knowledge = Knowledge::default();
+    let now = Millis::new(5_000_000);
+    for index in 0..300 {
+        let run = TargetIncarnation {
+            id: format!("i-498c69{index:04}").parse().unwrap(),
+            started_at: Some(1_700_000_000_000),
+        };
+        let limit = PerSecond::new(12.625);
+        knowledge.limits.record(&run, limit, now);
+        knowledge.leaving.record(&run, Millis::SECOND, now);
+        let suspects: Vec<u64> = (0..128).map(|part| u64::MAX - 128 * index - part).collect();
+        knowledge.crashes.record(&run, &parts(&suspects), now);
+    }
+    let text = serde_json::to_string(&knowledge.all(now)).unwrap();
+    expect_that!(text.len(), lt(128 * 1024 - 1_000));
+}
+
 /// Guards against a message of another entry that takes this one down or makes its memory grow: random
 /// reports with extreme values, in any order.
 #[gtest]
--- a/crates/signal/src/leaving.rs
+++ b/crates/signal/src/leaving.rs
@@ -5,8 +5,9 @@
 use cyc_types::Millis;
 use serde::{Deserialize, Serialize};
 
-/// Leaving targets that an entry remembers for other entries.
-pub const MAX_KNOWN_LEAVING: usize = 512;
+/// Leaving targets that an entry remembers for other entries: all of them fit into one message beside
+/// the other news.
+pub const MAX_KNOWN_LEAVING: usize = 256;
 /// A leaving target is forgotten after this time; its registration shows the same long before.
 pub const LEAVING_TTL: Millis = Millis::new(600_000);
 
