--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -515,7 +515,7 @@
     /// Returns true if a request may be sent to this run of a target now.
     pub fn may_send(&self, target: &TargetIncarnation, now: Millis) -> bool {
         self.targets.get(&target.id).is_some_and(|known| {
-            known.record.incarnation() == *target
+            known.record.started_at == target.started_at
                 && known.record.state == TargetState::Ready
                 && known.announcement.may_send(now)
         })
--- a/crates/signal/src/retained.rs
+++ b/crates/signal/src/retained.rs
@@ -28,13 +28,11 @@
 }
 
 impl<K: Ord + Clone> Retained<K> {
-    /// Keeps the announcement of a target. The oldest one is dropped if there are too many.
+    /// Keeps the announcement of a target for [`RETAIN_TIME`]. The oldest one is dropped if there are too many.
     pub fn keep(&mut self, target: K, announcement: Announcement, now: Millis) {
         if announcement.may_send(now) {
             return;
         }
-        let is_kept = |at: Millis| now.saturating_sub(at) < RETAIN_TIME;
-        self.by_target.retain(|_, (_, at)| is_kept(*at));
         if self.by_target.len() >= MAX_RETAINED && !self.by_target.contains_key(&target) {
             let oldest = self.by_target.iter().min_by_key(|(_, (_, at))| *at);
             if let Some(oldest) = oldest.map(|(target, _)| target.clone()) {
