--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -43,11 +43,19 @@
     /// Sends the next request on the connection.
     pub sender: SendRequest<Full<Bytes>>,
     /// No request was sent on the connection before.
-    pub is_fresh: bool,
+    is_fresh: bool,
     task: JoinHandle<()>,
     _guard: OpenGuard,
 }
 
+impl Conn {
+    /// Records that a request is sent on the connection. Returns true if it is the first one, so that
+    /// no answer to another request can arrive.
+    pub fn start_request(&mut self) -> bool {
+        std::mem::replace(&mut self.is_fresh, false)
+    }
+}
+
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
@@ -83,6 +91,8 @@
     addr: SocketAddr,
     idle: RefCell<Vec<Idle>>,
     open: Rc<Cell<u32>>,
+    /// Connections are not kept any more.
+    is_closed: Cell<bool>,
 }
 
 impl Pool {
@@ -92,6 +102,7 @@
             addr,
             idle: RefCell::new(Vec::new()),
             open: Rc::new(Cell::new(0)),
+            is_closed: Cell::new(false),
         }
     }
 
@@ -137,15 +148,20 @@
         })
     }
 
+    /// Closes the idle connections, and those in use after their response.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+        self.idle.borrow_mut().clear();
+    }
+
     /// Returns a connection to the pool once its response was read to the end.
-    pub fn put_idle(&self, mut conn: Conn, keep_alive: Option<Millis>) {
-        if conn.sender.is_closed() {
+    pub fn put_idle(&self, conn: Conn, keep_alive: Option<Millis>) {
+        if conn.sender.is_closed() || self.is_closed.get() {
             return;
         }
         let limit = keep_alive.map_or(DEFAULT_IDLE_LIMIT, |limit| {
             limit.saturating_sub(IDLE_MARGIN)
         });
-        conn.is_fresh = false;
         let until = Instant::now() + limit.min(DEFAULT_IDLE_LIMIT).duration();
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
--- a/crates/gateway/src/control/liveness.rs
+++ b/crates/gateway/src/control/liveness.rs
@@ -144,6 +144,7 @@
             !is_evacuated
                 && known.record.incarnation() == *target
                 && known.record.state == TargetState::Ready
+                && !known.announcement().is_leaving()
         });
         known.map(|known| known.pool.clone())
     };
--- a/crates/gateway/src/control/news.rs
+++ b/crates/gateway/src/control/news.rs
@@ -61,6 +61,7 @@
         sleep(INTERVAL.duration()).await;
         state.note_freeze();
         state.ticked_at.set(Some(state.now()));
+        state.forget_gone_targets();
         let is_changed = state.knowledge.borrow_mut().expire(state.now());
         if is_changed {
             state.news_added.notify_one();
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -1,5 +1,6 @@
 //! Traits that abstract the protocol of callers and targets, and the store.
 
+use cyc_signal::Signals;
 use cyc_types::{ClientAccountId, Millis, PerSecond, TargetId, Version, VmId};
 use http::{HeaderMap, request, response};
 use serde::{Deserialize, Serialize};
@@ -67,6 +68,8 @@
     pub limit: StatedLimit,
     /// How long the target stays cold, if it says so.
     pub cold_left: Option<Millis>,
+    /// What the target announces about itself.
+    pub signals: Signals,
     /// How long the target keeps an idle connection open.
     pub keep_alive: Option<Millis>,
 }
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -53,3 +53,10 @@
 pub const COLD_GRANTS: &str = "cold_grants";
 /// Counter: requests that were not sent to a target because it is cold.
 pub const COLD_DENIALS: &str = "cold_denials";
+/// Counter: targets that said, to this entry or another one, that they leave.
+pub const TARGETS_LEAVING: &str = "targets_leaving";
+/// Counter: answers in which targets wanted no requests for a while.
+pub const TARGET_PAUSES: &str = "target_pauses";
+/// Counter: requests not sent to their target after it was chosen, because of what it had announced
+/// meanwhile.
+pub const SENDS_WITHHELD: &str = "sends_withheld";
