--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use cyc_types::{ByteSize, ClientAccountId, ErrorKind, Millis, Revision, ServiceId, Tokens};
+use cyc_types::{
+    ByteSize, ClientAccountId, ErrorKind, Millis, PerSecond, Revision, ServiceId, Tokens,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use strum::{Display, EnumString, IntoStaticStr};
@@ -100,8 +102,17 @@
     }
 }
 
+/// How targets of a service that have just started take requests.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// How long a target is cold after its start.
+    pub time: Millis,
+    /// Requests a second that a cold target takes from all entries together.
+    pub rate: PerSecond,
+}
+
 /// Configuration of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one target accepts from all entries together.
     pub max_connections: u32,
@@ -112,6 +123,9 @@
     /// Tokens that fit in the memory of one model engine.
     #[serde(default)]
     pub memory: Option<Tokens>,
+    /// `None` if targets take their usual load from the start.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A client account.
@@ -187,7 +201,7 @@
 }
 
 /// One revision of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "Parts", into = "Parts")]
 pub struct Configuration {
     /// Revision number; only increases.
@@ -282,6 +296,12 @@
         self.services.get(id)
     }
 
+    /// The services whose targets start cold.
+    pub fn cold_starts(&self) -> impl Iterator<Item = (&ServiceId, ColdStart)> {
+        let services = self.services.iter();
+        services.filter_map(|(id, service)| Some((id, service.cold_start?)))
+    }
+
     /// All client accounts, in the order in which they were added.
     pub fn accounts(&self) -> &[Arc<Account>] {
         &self.accounts
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,23 +2,27 @@
 //! that are probably cached.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap},
     rc::Rc,
 };
 
+use cyc_evac::Evacuations;
 use cyc_route::{Availability, Failure, Health, health};
+use cyc_signal::{Announcement, Retained, ServiceWait, Signals, service_wait};
 use cyc_types::{AvailabilityZone, Millis, PerSecond, ServiceId, TargetId, Tokens, VmId, hash};
-use rand::{SeedableRng as _, rngs::StdRng};
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
 use crate::{
     affinity::PrefixDemand,
     call::{PartId, Prompt, PromptPart, PromptSize},
     choose::{self, Candidate, Choice, Lane, Pauses, PromptInput},
+    config::ColdStart,
     conn::Pool,
     decay::DecayingSum,
     group::ServiceTargets,
     lane::{self, EngineCapacity, LanePlan},
-    limit::TargetLimit,
+    limit::{ColdWord, Coldness, LimitWord, TargetLimit},
     member::{Record, TargetIncarnation, TargetState},
     port::StatedLimit,
     speed::{Slowdown, Speed, SpeedEstimate},
@@ -189,6 +193,9 @@
     /// When the target last answered without a limit.
     unlimited_at: Millis,
     speed: SpeedEstimate,
+    /// See [`Fleet::cold`], which also counts an ejected target as cold.
+    cold: Coldness,
+    announcement: Announcement,
     slowness: f64,
     slowness_at: Millis,
     /// Tokens of the prompts and answers of this entry's attempts that have not ended.
@@ -215,6 +222,8 @@
             limit: None,
             unlimited_at: Millis::ZERO,
             speed: SpeedEstimate::default(),
+            cold: Coldness::default(),
+            announcement: Announcement::default(),
             slowness: 1.0,
             slowness_at: now,
             held_tokens: 0,
@@ -222,6 +231,20 @@
         }
     }
 
+    /// Takes over what this run of the target has announced before.
+    fn with_announcement(mut self, announcement: Announcement) -> Self {
+        self.announcement = announcement;
+        if announcement.is_leaving() {
+            self.pool.close();
+        }
+        self
+    }
+
+    /// What the target has announced about itself.
+    pub fn announcement(&self) -> &Announcement {
+        &self.announcement
+    }
+
     fn slowness(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.slowness_at).get() as f64;
         let kept = 0.5_f64.powf(age / SLOWNESS_HALF_LIFE.get() as f64);
@@ -282,6 +305,18 @@
         }
     }
 
+    /// Returns true if the target works and can start one more request at once, as far as this entry
+    /// knows.
+    fn has_room(&self, now: Millis) -> bool {
+        let load = self
+            .load
+            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_REPORT_TTL);
+        let load = load.map_or(Load::default(), |(load, _)| load);
+        self.health.availability(now) == Availability::Available
+            && load.waiting == 0
+            && load.running.max(self.in_flight) < self.record.slots.max(1)
+    }
+
     fn record_cached(&mut self, parts: &[PromptPart], now: Millis) {
         if self.cached.len() + parts.len() > MAX_CACHED_PARTS {
             self.cached
@@ -350,9 +385,16 @@
     /// Running entries, assumed to send equal load. Invariant: at least 1.
     entries: usize,
     targets: BTreeMap<TargetId, Target>,
+    retained: Retained<TargetIncarnation>,
     /// The ready targets of each service.
     services: HashMap<ServiceId, ServiceTargets>,
     profiles: HashMap<ServiceId, ServiceProfile>,
+    /// The services whose targets start cold.
+    cold_starts: HashMap<ServiceId, ColdStart>,
+    /// When this entry first read the list of targets, or went on after it was frozen.
+    resumed_at: Option<Millis>,
+    /// The zones whose targets get less than their load, or nothing.
+    evacuations: Evacuations,
     /// Prompts that this entry has sent to the targets of each service, by lane.
     prefill: HashMap<(ServiceId, Lane), Prefill>,
     demand: PrefixDemand,
@@ -368,8 +410,12 @@
             options,
             entries: 1,
             targets: BTreeMap::new(),
+            retained: Retained::default(),
             services: HashMap::new(),
             profiles: HashMap::new(),
+            cold_starts: HashMap::new(),
+            resumed_at: None,
+            evacuations: Evacuations::default(),
             prefill: HashMap::new(),
             demand: PrefixDemand::default(),
             rng: StdRng::seed_from_u64(0),
@@ -382,27 +428,61 @@
         self
     }
 
+    /// Sets the services whose targets start cold.
+    pub fn set_cold_starts<'a>(
+        &mut self,
+        services: impl Iterator<Item = (&'a ServiceId, ColdStart)>,
+    ) {
+        self.cold_starts = services
+            .map(|(id, cold_start)| (id.clone(), cold_start))
+            .collect();
+    }
+
     /// Replaces the list of targets. The state of a target that was restarted or has a new address
-    /// is discarded.
+    /// is discarded, except what this run of it has announced; it counts as cold.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Record>, now: Millis) {
+        self.resumed_at.get_or_insert(now);
         let mut old = std::mem::take(&mut self.targets);
         for record in records {
-            let same = old.remove(&record.id).filter(|target| {
+            let known = old.remove(&record.id);
+            let is_same = |target: &Target| {
                 target.record.started_at == record.started_at && target.record.addr == record.addr
-            });
-            let target = match same {
-                Some(mut target) => {
+            };
+            let target = match known {
+                Some(mut target) if is_same(&target) => {
                     target.record = record.clone();
                     target
                 }
-                None => Target::new(record.clone(), now),
+                before => {
+                    self.retain(before.as_ref(), now);
+                    let announcement = self.retained.take(&record.incarnation(), now);
+                    let mut target =
+                        Target::new(record.clone(), now).with_announcement(announcement);
+                    let cold_start = self.cold_starts.get(&record.service);
+                    if let Some(cold_start) = cold_start.filter(|_| before.is_some()) {
+                        target.cold.extend(cold_start.time, now);
+                    }
+                    target
+                }
             };
             self.targets.insert(record.id.clone(), target);
         }
+        for target in old.values() {
+            self.retain(Some(target), now);
+        }
         self.assign_lanes();
         self.assign_services();
     }
 
+    /// Keeps what a target has announced in case that its registration comes back. Without a start time
+    /// a later run cannot be told from this one.
+    fn retain(&mut self, target: Option<&Target>, now: Millis) {
+        if let Some(target) = target.filter(|target| target.record.started_at.is_some()) {
+            let incarnation = target.record.incarnation();
+            self.retained.keep(incarnation, target.announcement, now);
+        }
+    }
+
     fn assign_services(&mut self) {
         self.services.clear();
         let ready = self.targets.values();
@@ -549,29 +629,109 @@
         }
     }
 
-    /// Selects a target that has a connection available. Ejected targets are selected only when they
+    /// Sets the evacuated zones.
+    pub fn set_evacuations(&mut self, evacuations: Evacuations) {
+        self.evacuations = evacuations;
+    }
+
+    /// The evacuated zones.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
+    /// Returns true if nothing may be sent to the target, nor any connection opened, because its zone
+    /// is evacuated.
+    pub fn is_evacuated(&self, id: &TargetId, now: Millis) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|target| self.evacuations.is_closed(&target.record.zone, now))
+    }
+
+    /// Records that the targets of a zone may have become cold. Returns the number of targets that
+    /// count as cold because of that.
+    pub fn mark_zone_cold(&mut self, zone: &AvailabilityZone, now: Millis) -> usize {
+        let mut marked = 0;
+        let targets = self.targets.values_mut();
+        for target in targets.filter(|target| target.record.zone == *zone) {
+            if let Some(cold_start) = self.cold_starts.get(&target.record.service) {
+                target.cold.extend(cold_start.time, now);
+                marked += 1;
+            }
+        }
+        marked
+    }
+
+    /// Selects a target that has a connection available. Targets of evacuated zones are never
+    /// selected, and those of a zone whose load leaves or returns for a part of the requests, or if
+    /// there are no others. Ejected targets are selected only when they
     /// are due for a probe that the request can be, or when there are no others.
     pub fn choose(
         &mut self,
         required: &Requirements<'_>,
         prompt: Option<&Prompt>,
         now: Millis,
+    ) -> Option<(TargetId, Choice)> {
+        if self.evacuations.is_empty() {
+            return self.choose_in_zones(required, prompt, 0.0, now);
+        }
+        let draw = self.rng.random();
+        self.choose_in_zones(required, prompt, draw, now)
+            .or_else(|| self.choose_in_zones(required, prompt, 0.0, now))
+    }
+
+    /// Selects a target in the zones whose share of their load is above `draw`, from 0 to 1.
+    fn choose_in_zones(
+        &mut self,
+        required: &Requirements<'_>,
+        prompt: Option<&Prompt>,
+        draw: f64,
+        now: Millis,
     ) -> Option<(TargetId, Choice)> {
         let shared = prompt.map_or(&[][..], Prompt::shared);
         let pauses = prompt.and_then(|prompt| self.update_lanes(required, prompt, now));
         let typical = self.typical_speed(required.service, now);
         let preferred = self.preferred_count(prompt, shared, typical, now);
         let service = self.services.get(required.service)?;
-        let considered = service.consider(prompt, preferred, &mut self.rng, |id| {
+        let cold_start = self.cold_starts.get(required.service);
+        let usable = |id: &TargetId| {
             let target = self.targets.get(id)?;
+            if !self.evacuations.is_empty()
+                && self.evacuations.share(&target.record.zone, now) <= draw
+            {
+                return None;
+            }
             let is_open = target
                 .limit
                 .is_none_or(|limit| required.may_ask && limit.wait(now).is_zero());
+            let availability = target.health.availability(now);
+            let is_cold = cold_start.is_some()
+                && (availability != Availability::Available || !target.cold.left(now).is_zero());
+            let is_open =
+                is_open && (!is_cold || required.may_ask && target.cold.wait(now).is_zero());
             let is_usable = is_open
+                && target.announcement.may_send(now)
                 && !required.tried.contains(id)
                 && target.pool.has_room(required.connections);
-            is_usable.then(|| target.health.availability(now))
+            is_usable.then_some((availability, is_cold))
+        };
+        // Warm targets first: a cold one looks idle and would be preferred by all entries.
+        let has_cold = Cell::new(false);
+        let mut considered = service.consider(prompt, preferred, &mut self.rng, |id| {
+            let (availability, is_cold) = usable(id)?;
+            if is_cold && availability == Availability::Available {
+                has_cold.set(true);
+                return None;
+            }
+            Some(availability)
         });
+        let has_room = |(id, _): &(&TargetId, f64)| {
+            let target = self.targets.get(*id);
+            target.is_some_and(|target| target.has_room(now))
+        };
+        if has_cold.get() && !considered.targets.iter().any(has_room) {
+            considered = service.consider(prompt, preferred, &mut self.rng, |id| {
+                usable(id).map(|(availability, _)| availability)
+            });
+        }
         if required.may_probe
             && let Some(probe) = considered.probe
         {
@@ -720,6 +880,59 @@
         }
     }
 
+    /// Returns true if a request may be sent to this run of a target now.
+    pub fn may_send(&self, target: &TargetIncarnation, now: Millis) -> bool {
+        self.targets.get(&target.id).is_some_and(|known| {
+            known.record.started_at == target.started_at
+                && known.record.state == TargetState::Ready
+                && known.announcement.may_send(now)
+        })
+    }
+
+    /// Stores what a run of a target announces about itself. Returns whether its leaving and its pause
+    /// are new.
+    pub fn record_signals(
+        &mut self,
+        target: &TargetIncarnation,
+        signals: Signals,
+        now: Millis,
+    ) -> (bool, bool) {
+        let known = self.targets.get_mut(&target.id);
+        let known = known.filter(|known| known.record.incarnation() == *target);
+        let mut retained = Announcement::default();
+        let is_known = known.is_some();
+        let pool = known.as_ref().map(|known| known.pool.clone());
+        let announcement = match known {
+            Some(known) => &mut known.announcement,
+            None => {
+                retained = self.retained.take(target, now);
+                &mut retained
+            }
+        };
+        let is_leaving = signals.is_leaving && announcement.leave();
+        let is_paused = signals
+            .pause
+            .is_some_and(|pause| announcement.pause(pause, now));
+        if let Some(pool) = pool.filter(|_| is_leaving) {
+            pool.close();
+        }
+        if !is_known && target.started_at.is_some() {
+            self.retained.keep(target.clone(), retained, now);
+        }
+        (is_leaving, is_paused)
+    }
+
+    /// When the targets of a service take requests, as far as they announce it.
+    pub fn service_wait(&self, service: &ServiceId, now: Millis) -> ServiceWait {
+        let ready = self.targets.values().filter(|target| {
+            target.record.service == *service && target.record.state == TargetState::Ready
+        });
+        service_wait(ready.map(|target| {
+            let limit_wait = target.limit.map(|limit| limit.wait(now));
+            (target.announcement.standing(now), limit_wait)
+        }))
+    }
+
     /// Ejects a target that another entry found crashed this long ago. Returns true if it was in use.
     pub fn learn_crash(&mut self, target: &TargetIncarnation, age: Millis, now: Millis) -> bool {
         let Some(known) = self.targets.get_mut(&target.id) else {
@@ -798,16 +1011,102 @@
         }
     }
 
-    /// Time until a request may be sent to one of the limited targets of a service; `None` if none
-    /// of its targets names a limit.
+    /// Time until a request may be sent to one of the limited or cold targets of a service; `None`
+    /// if there are none.
     pub fn limit_wait(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
         let targets = self.targets.values();
-        let of_service = targets.filter(|target| target.record.service == *service);
+        let of_service = targets.filter(|target| {
+            target.record.service == *service
+                && !self.evacuations.is_closed(&target.record.zone, now)
+        });
         of_service
-            .filter_map(|target| Some(target.limit?.wait(now)))
+            .filter_map(|target| {
+                let named = target.limit.map(|limit| limit.wait(now));
+                // An ejected target says nothing of when one accepts a request.
+                let is_available = target.health.availability(now) == Availability::Available;
+                let cold = self.cold_word(target, now).filter(|_| is_available);
+                let cold = cold.map(|_| target.cold.wait(now));
+                named.max(cold)
+            })
             .min()
     }
 
+    /// Records that a target stays cold for at least this long, if its service has targets that
+    /// start cold. Returns true if it was not known to be cold.
+    pub fn mark_cold(&mut self, id: &TargetId, left: Millis, now: Millis) -> bool {
+        let Some(target) = self.targets.get_mut(id) else {
+            return false;
+        };
+        // The configuration may be read after the list of targets.
+        let is_new = target.cold.extend(left, now);
+        is_new && self.cold_starts.contains_key(&target.record.service)
+    }
+
+    /// What this entry knows of a cold target; `None` if it is warm. An ejected target counts as
+    /// cold, because it may be starting and each entry probes it; one that has returned does so for
+    /// the time of a start.
+    pub fn cold(&self, id: &TargetId, now: Millis) -> Option<ColdWord> {
+        self.cold_word(self.targets.get(id)?, now)
+    }
+
+    fn cold_word(&self, target: &Target, now: Millis) -> Option<ColdWord> {
+        let cold_start = self.cold_starts.get(&target.record.service)?;
+        let left = match target.health.availability(now) {
+            Availability::Available => target.cold.left(now),
+            Availability::Probe | Availability::Ejected => {
+                target.cold.left(now).max(cold_start.time)
+            }
+        };
+        (!left.is_zero()).then_some(ColdWord {
+            rate: cold_start.rate,
+            left,
+        })
+    }
+
+    /// Records that this entry goes on after it was frozen, so that it has missed what happened.
+    pub fn resume(&mut self, now: Millis) {
+        self.resumed_at = Some(now);
+    }
+
+    /// Returns true if a target may be cold without this entry's knowledge, because the entry started
+    /// or was frozen shorter ago than targets stay cold after what it has not seen: an ejection, or
+    /// the end of an evacuation. The granting entry knows.
+    pub fn may_be_cold(&self, id: &TargetId, now: Millis) -> bool {
+        let target = self.targets.get(id);
+        let cold_start = target.and_then(|target| self.cold_starts.get(&target.record.service));
+        let since = self.resumed_at.map(|at| now.saturating_sub(at));
+        cold_start.is_some_and(|cold_start| since.is_some_and(|since| since < cold_start.time))
+    }
+
+    /// The limit that paces the requests to a target: that of its cold time, or the one it names.
+    pub fn pace_mut(&mut self, id: &TargetId, now: Millis) -> Option<&mut TargetLimit> {
+        let cold = self.cold(id, now);
+        let target = self.targets.get_mut(id)?;
+        match cold {
+            Some(cold) => {
+                let named = target.limit.map(|limit| limit.limit());
+                Some(target.cold.pace(cold.rate, named))
+            }
+            None => target.limit.as_mut(),
+        }
+    }
+
+    /// What is known of the limit that a target names, for the granting entry.
+    pub fn limit_word(&self, id: &TargetId, now: Millis) -> Option<LimitWord> {
+        let target = self.targets.get(id)?;
+        let absent = LimitWord {
+            limit: None,
+            age: now.saturating_sub(target.unlimited_at),
+        };
+        Some(target.limit.map_or(absent, |limit| limit.word(now)))
+    }
+
+    /// Returns true if a target gets no requests other than probes.
+    pub fn is_ejected(&self, id: &TargetId, now: Millis) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|target| target.health.availability(now) != Availability::Available)
+    }
+
     /// Records the end of an attempt; `pending_tokens` is what the target has not prefilled.
     /// Returns true if this ejected the target.
     pub fn end_attempt(
@@ -823,6 +1122,7 @@
         target.in_flight = target.in_flight.saturating_sub(1);
         target.pending_tokens = target.pending_tokens.saturating_sub(pending_tokens);
         let was_available = target.health.availability(now) == Availability::Available;
+        let cold_start = self.cold_starts.get(&target.record.service);
         match verdict {
             Verdict::Answered => target.health.record_success(now),
             Verdict::Full | Verdict::Abandoned => {}
@@ -834,6 +1134,10 @@
             Verdict::Failed => target.health.record_failure(Failure::TargetFailed, now),
             Verdict::Timeout(sent) => target.health.record_failure(Failure::Timeout(sent), now),
         }
-        was_available && target.health.availability(now) != Availability::Available
+        let is_available = target.health.availability(now) == Availability::Available;
+        if let Some(cold_start) = cold_start.filter(|_| is_available && !was_available) {
+            target.cold.extend(cold_start.time, now);
+        }
+        was_available && !is_available
     }
 }
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -3,6 +3,8 @@
 use std::{cell::RefCell, rc::Rc};
 
 use bytes::Bytes;
+use cadence::CountedExt as _;
+use cyc_signal::ServiceWait;
 use cyc_types::{ErrorKind, Millis, Refusal, ServiceId, TargetId};
 use http::{Request, Response, StatusCode, Uri, response};
 use http_body_util::Full;
@@ -19,8 +21,9 @@
     control::{self, BrokenAnswer},
     crash::SOUND_AFTER,
     fleet::{FinishedPrefill, Requirements, Verdict},
+    member::TargetIncarnation,
     port::{Protocol, ResponseInfo, TargetRequestInfo},
-    state::State,
+    state::{ColdSource, State},
 };
 
 /// A request whose connection fails moves to another target until this many of its attempts have
@@ -31,6 +34,8 @@
 /// Part of a target's connections that entries use: the number of entries is known with a delay,
 /// and a target accepts fewer connections while many requests are queued there.
 const CONNECTIONS_PERCENT: u64 = 90;
+/// Part of an announced wait that is added to it at random.
+const JITTER_DIVISOR: u64 = 4;
 /// A request that was denied by this many limited targets is sent to targets without a limit only.
 const MAX_DENIALS: u32 = 3;
 /// Prompt parts in a log line.
@@ -42,6 +47,8 @@
 pub struct ActiveAttempt<P> {
     state: Rc<State<P>>,
     target: TargetId,
+    /// The run of the target that gets the request.
+    incarnation: TargetIncarnation,
     /// Prompt tokens that the target has not prefilled.
     pending_tokens: u64,
     /// Prompt tokens that the target had to prefill before.
@@ -68,21 +75,22 @@
     fn new(
         state: Rc<State<P>>,
         service: ServiceId,
-        target: TargetId,
+        incarnation: TargetIncarnation,
         choice: &Choice,
         call: &Call,
     ) -> Self {
         let now = state.now();
         let mut fleet = state.fleet.borrow_mut();
-        fleet.start_attempt(&target, choice.uncached, now);
+        fleet.start_attempt(&incarnation.id, choice.uncached, now);
         let size = call.prompt.as_ref().map(Prompt::size);
         if let Some(size) = size {
-            fleet.start_generation(&target, size, choice.uncached, now);
+            fleet.start_generation(&incarnation.id, size, choice.uncached, now);
         }
         drop(fleet);
         Self {
             state,
-            target,
+            target: incarnation.id.clone(),
+            incarnation,
             pending_tokens: choice.uncached,
             ahead: choice.ahead,
             service,
@@ -171,8 +179,14 @@
         if let Some(size) = self.size {
             fleet.end_generation(&self.service, &self.target, size, now);
         }
+        let was_ejected = fleet.is_ejected(&self.target, now);
         let is_ejected = fleet.end_attempt(&self.target, self.pending_tokens, self.verdict, now);
+        let has_returned = was_ejected && !fleet.is_ejected(&self.target, now);
+        let is_cold = fleet.cold(&self.target, now).is_some();
         drop(fleet);
+        if has_returned && is_cold {
+            self.state.log_cold(&self.target, ColdSource::Ejection);
+        }
         if is_ejected {
             let verdict = format!("{:?}", self.verdict);
             spdlog::warn!("target_ejected", kv: {
@@ -275,7 +289,6 @@
     pub tried: Vec<TargetId>,
     /// Estimate for the last target.
     pub estimate: Millis,
-    service: ServiceId,
     /// A target may have run the request.
     may_have_run: bool,
     /// Updated with each send, in case that the caller disconnects before the response.
@@ -290,7 +303,6 @@
         bill: Bill<P>,
         progress: Rc<RefCell<RequestLog>>,
     ) -> Self {
-        let service = request.route.service(rand::random()).clone();
         Self {
             state,
             request,
@@ -298,7 +310,6 @@
             sends: 0,
             tried: Vec::new(),
             estimate: Millis::ZERO,
-            service,
             may_have_run: false,
             progress,
         }
@@ -379,7 +390,7 @@
         let now = self.state.now();
         let entries = self.state.entries();
         let mut retry_budget = self.state.retry_budget.borrow_mut();
-        retry_budget.take(&self.service, entries, now)
+        retry_budget.take(&self.request.service, entries, now)
     }
 
     /// Returns true if targets have crashed on a part of the prompt since the request was admitted.
@@ -398,18 +409,26 @@
     }
 
     fn no_target_refusal(&self) -> Refusal {
-        let refusal = self.failure_refusal("no target of the service can take it");
-        let wait = self
-            .state
-            .fleet
-            .borrow()
-            .limit_wait(&self.service, self.state.now());
-        match wait {
-            Some(wait) if !self.may_have_run => {
-                refusal.with_retry_after(retry_after(wait.max(RETRY_AFTER_TARGET)))
-            }
-            _ => refusal,
+        let reason = "no target of the service can take it";
+        if self.may_have_run {
+            return self.failure_refusal(reason);
         }
+        let (now, service) = (self.state.now(), &self.request.service);
+        let fleet = self.state.fleet.borrow();
+        let wait = match (
+            fleet.service_wait(service, now),
+            fleet.limit_wait(service, now),
+        ) {
+            (ServiceWait::Open, Some(wait)) => retry_after(wait.max(RETRY_AFTER_TARGET)),
+            (wait, _) => return_time(wait),
+        };
+        Refusal::new(ErrorKind::NoTarget, reason).with_retry_after(wait)
+    }
+
+    /// `Retry-After` of a request that a target has rejected.
+    pub fn retry_after_target(&self) -> Millis {
+        let fleet = self.state.fleet.borrow();
+        return_time(fleet.service_wait(&self.request.service, self.state.now()))
     }
 
     fn choose(&self, may_ask: bool) -> Option<(TargetId, Choice)> {
@@ -417,10 +436,13 @@
         let entries = self.state.entries();
         let mut fleet = self.state.fleet.borrow_mut();
         fleet.set_entries(entries);
-        let service = self.request.config.service(&self.service);
-        fleet.set_memory(&self.service, service.and_then(|service| service.memory));
+        let service = self.request.config.service(&self.request.service);
+        fleet.set_memory(
+            &self.request.service,
+            service.and_then(|service| service.memory),
+        );
         let required = Requirements {
-            service: &self.service,
+            service: &self.request.service,
             connections: connection_limit(service, entries),
             pauses: self.pauses(service),
             tried: &self.tried,
@@ -465,7 +487,7 @@
             ErrorKind::Overloaded,
             "the time is over before a target was reached",
         )
-        .with_retry_after(retry_after(RETRY_AFTER_TARGET))
+        .with_retry_after(self.retry_after_target())
     }
 
     fn prompt_refusal(&self) -> Refusal {
@@ -481,7 +503,7 @@
         if self.may_have_run {
             return Refusal::new(ErrorKind::OutcomeUnknown, reason);
         }
-        Refusal::new(ErrorKind::NoTarget, reason).with_retry_after(retry_after(RETRY_AFTER_TARGET))
+        Refusal::new(ErrorKind::NoTarget, reason).with_retry_after(self.retry_after_target())
     }
 
     async fn send(
@@ -491,15 +513,16 @@
         resume_after: Option<u64>,
     ) -> Result<TargetResponse<P>, AttemptError> {
         self.tried.push(target.clone());
-        let pool = {
+        let (pool, incarnation) = {
             let fleet = self.state.fleet.borrow();
-            let known = fleet.get(target).map(|known| known.pool.clone());
+            let known = fleet.get(target);
+            let known = known.map(|known| (known.pool.clone(), known.record.incarnation()));
             known.ok_or_else(|| AttemptError::NotSent("the target has just left".into()))?
         };
         let attempt = ActiveAttempt::new(
             self.state.clone(),
-            self.service.clone(),
-            target.clone(),
+            self.request.service.clone(),
+            incarnation,
             choice,
             &self.request.call,
         );
@@ -515,10 +538,24 @@
         };
         let req = self.build_request(target, resume_after);
         let req = req.map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        // The grant and the connection may have taken time, in which other answers have arrived.
+        let now = self.state.now();
+        if !self
+            .state
+            .fleet
+            .borrow()
+            .may_send(&attempt.incarnation, now)
+        {
+            self.state.metrics.incr(cyc_obs::names::SENDS_WITHHELD).ok();
+            attempt.end(Verdict::Abandoned);
+            let reason = "the target takes no requests any more";
+            return Err(AttemptError::NotSent(reason.into()));
+        }
+        let is_first = conn.start_request();
         let sent = conn.sender.try_send_request(req);
         if self.sends == 0 {
             let mut retry_budget = self.state.retry_budget.borrow_mut();
-            retry_budget.record_first_attempt(&self.service, self.state.now());
+            retry_budget.record_first_attempt(&self.request.service, self.state.now());
         }
         self.sends += 1;
         self.update_log(&mut self.progress.borrow_mut());
@@ -554,7 +591,7 @@
             }
             Ok(Ok(received)) => received,
         };
-        let response = self.check(received, conn, pool, attempt);
+        let response = self.check(received, is_first, conn, pool, attempt);
         match &response {
             // A target that responds has run the request, even if the response breaks off later.
             Ok(_) => self.may_have_run = true,
@@ -607,24 +644,27 @@
         Ok(req)
     }
 
-    /// Accepts a response only if it belongs to this request and comes from the target itself.
+    /// Accepts a response only if it belongs to this request and comes from the target itself. Nothing
+    /// in another one is acted upon: the request may have run. `is_first` tells whether the request is
+    /// the first one on its connection, so that a response without an id can only be its own.
     fn check(
         &self,
         received: Response<Incoming>,
+        is_first: bool,
         conn: Conn,
         pool: Rc<Pool>,
         attempt: ActiveAttempt<P>,
     ) -> Result<TargetResponse<P>, AttemptError> {
         let (head, body) = received.into_parts();
         let info = self.state.protocol.decode_response(&head);
-        if let Some(load) = info.load {
-            let mut fleet = self.state.fleet.borrow_mut();
-            fleet.record_load(&attempt.target, load, self.state.now());
-        }
-        let is_own = info.id.as_ref() == Some(&self.request.call.id);
-        if is_own && !info.is_misdirected {
-            self.state
-                .record_limit(&attempt.target, info.limit, attempt.sent_at);
+        let is_own = match &info.id {
+            Some(id) => *id == self.request.call.id,
+            None => is_first,
+        };
+        if !is_own {
+            attempt.end(Verdict::Failed);
+            let reason = format!("not the answer to this request: {}", head.status);
+            return Err(AttemptError::Unknown(reason));
         }
         if info.is_misdirected {
             attempt.end(Verdict::NotReached);
@@ -632,6 +672,18 @@
                 "the address belongs to another target".into(),
             ));
         }
+        if let Some(load) = info.load {
+            let mut fleet = self.state.fleet.borrow_mut();
+            fleet.record_load(&attempt.target, load, self.state.now());
+        }
+        self.state
+            .record_limit(&attempt.target, info.limit, attempt.sent_at);
+        self.state
+            .record_signals(&attempt.incarnation, info.signals);
+        if let Some(left) = info.cold_left {
+            self.state
+                .mark_cold(&attempt.incarnation, left, ColdSource::Answer);
+        }
         if info.is_not_run {
             attempt.end(Verdict::Full);
             return Err(AttemptError::NotRun(format!(
@@ -641,14 +693,24 @@
         }
         let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
         let needs_signature = head.status.is_success() || guarantees_not_run(head.status);
-        if !is_own || is_encoded || (needs_signature && !info.is_signed) {
+        // An answer that is passed on names its request, so that the caller can check it.
+        let is_named = info.id.is_some();
+        if !is_named || is_encoded || (needs_signature && !info.is_signed) {
             attempt.end(Verdict::Failed);
             let reason = format!(
-                "not the answer to this request: {} own={is_own} encoded={is_encoded} signed={}",
+                "not an answer of the target itself: {} named={is_named} encoded={is_encoded} signed={}",
                 head.status, info.is_signed
             );
             return Err(AttemptError::Unknown(reason));
         }
+        if self.may_have_run && guarantees_not_run(head.status) {
+            // True of this target only: passed on, it would promise that no target has run it.
+            attempt.end(Verdict::Full);
+            return Err(AttemptError::NotRun(format!(
+                "refused with {} after another target may have run it",
+                head.status
+            )));
+        }
         Ok(TargetResponse {
             head,
             body,
@@ -660,6 +722,19 @@
     }
 }
 
+/// When a caller may return: not before the first of the targets takes requests again, if all of them
+/// have announced that they take none. A random part is added, so that callers do not return
+/// together; it does not double long waits.
+fn return_time(wait: ServiceWait) -> Millis {
+    match wait {
+        ServiceWait::Until(wait) => {
+            let most = RETRY_AFTER_TARGET.get().max(wait.get() / JITTER_DIVISOR);
+            wait + Millis::new(rand::random_range(0..=most))
+        }
+        ServiceWait::Open | ServiceWait::Leaving => retry_after(RETRY_AFTER_TARGET),
+    }
+}
+
 /// Connections that this entry may have open to one target of a service.
 fn connection_limit(service: Option<&Service>, entries: usize) -> u32 {
     let all = service.map_or(u32::MAX, |service| service.max_connections);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,8 +7,11 @@
     rc::Rc,
 };
 
+use cadence::CountedExt as _;
 use cyc_obs::Metrics;
+use cyc_signal::Signals;
 use cyc_types::{ClientAccountId, Clock, Millis, PerSecond, TargetId, VmId};
+use strum::{Display, IntoStaticStr};
 use tokio::{
     sync::{Notify, watch},
     time::Instant,
@@ -32,6 +35,10 @@
     store_health::StoreHealth,
 };
 
+/// An entry whose task of every second has not run for this long was frozen. The task may wait for
+/// three other entries that do not answer, 300 ms each.
+const FREEZE_TIME: Millis = Millis::new(2_500);
+
 fn log_limit(target: &TargetIncarnation, limit: Option<PerSecond>, source: &str) {
     spdlog::info!("target_limit_changed", kv: {
         target = target.id.as_str(),
@@ -40,6 +47,27 @@
     });
 }
 
+/// How an entry learnt that a target is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ColdSource {
+    /// Its registration says so.
+    Registration,
+    /// It was restarted under its id.
+    Restart,
+    /// It returned after an ejection.
+    Ejection,
+    /// One of its answers says so.
+    Answer,
+    /// Another entry asked for a grant.
+    Entry,
+}
+
+/// The source of a statement of a target itself, in log lines.
+const SOURCE_TARGET: &str = "target";
+/// The source of a statement that another entry passed on, in log lines.
+const SOURCE_ENTRY: &str = "entry";
+
 /// The state of one entry.
 pub struct State<P> {
     /// VM of this entry.
@@ -56,6 +84,8 @@
     pub targets: RefCell<TargetList>,
     /// The list of targets was read at least once.
     pub targets_loaded: Cell<bool>,
+    /// The evacuations were read at least once, or need not be read.
+    pub evacuations_loaded: Cell<bool>,
     /// State of the targets.
     pub fleet: RefCell<Fleet>,
     /// The other entries.
@@ -68,6 +98,10 @@
     pub knowledge: RefCell<Knowledge>,
     /// Notified when there may be news for other entries.
     pub news_added: Notify,
+    /// When a task of this entry last ran that runs about every second; see [`State::note_freeze`].
+    pub ticked_at: Cell<Option<Millis>>,
+    /// When this entry last went on after it was frozen.
+    pub resumed_at: Cell<Millis>,
     /// No other entry answered lately, though some run.
     pub is_isolated: Cell<bool>,
     /// Grants of requests to the limited targets that this entry looks after.
@@ -117,6 +151,7 @@
             config: RefCell::new(None),
             targets: RefCell::new(TargetList::new()),
             targets_loaded: Cell::new(false),
+            evacuations_loaded: Cell::new(settings.evacuation.is_none()),
             fleet: RefCell::new(
                 Fleet::new(settings.zone.clone(), choose::Options::default())
                     .with_entry(&settings.vm),
@@ -126,6 +161,8 @@
             loan_failures: RefCell::default(),
             knowledge: RefCell::default(),
             news_added: Notify::new(),
+            ticked_at: Cell::new(None),
+            resumed_at: Cell::new(Millis::ZERO),
             is_isolated: Cell::new(false),
             grantor: RefCell::default(),
             unresponsive_grantors: RefCell::default(),
@@ -152,9 +189,25 @@
         self.clock.now()
     }
 
+    /// Finds out whether this entry was frozen, before it acts on what it knew. What other entries
+    /// have learnt meanwhile arrives later than the requests of callers.
+    pub fn note_freeze(&self) {
+        let now = self.now();
+        let since = self.ticked_at.get().map(|at| now.saturating_sub(at));
+        if since.is_some_and(|since| since >= FREEZE_TIME) {
+            self.ticked_at.set(Some(now));
+            self.resumed_at.set(now);
+            self.fleet.borrow_mut().resume(now);
+            spdlog::warn!("process_resumed", kv: {
+                frozen_ms = since.map_or(0, |since| since.get()),
+            });
+        }
+    }
+
     /// Returns true if the platform may route callers to this entry.
     pub fn is_ready(&self) -> bool {
-        self.config.borrow().is_some() && self.targets_loaded.get() && !self.is_stopping()
+        let has_read = self.targets_loaded.get() && self.evacuations_loaded.get();
+        self.config.borrow().is_some() && has_read && !self.is_stopping()
     }
 
     /// Returns true once the shutdown signal has arrived.
@@ -197,14 +250,25 @@
         self.news_added.notify_one();
     }
 
-    /// Applies what other entries have learnt to the targets: limits, and crashes that this entry
-    /// does not know yet.
+    /// Applies what other entries have learnt to the targets: limits, leaving targets, and crashes that
+    /// this entry does not know yet.
     pub fn apply_news(&self, news: &News, now: Millis) {
         let mut fleet = self.fleet.borrow_mut();
         for report in &news.limits {
             let said_at = now.saturating_sub(report.age);
             if fleet.learn_limit(&report.target, report.limit, said_at) {
-                log_limit(&report.target, Some(report.limit), "entry");
+                log_limit(&report.target, Some(report.limit), SOURCE_ENTRY);
+            }
+        }
+        // Without a start time, a later run could not be told from the one that leaves.
+        let leaving = news.leaving.iter();
+        for report in leaving.filter(|report| report.target.started_at.is_some()) {
+            let signals = Signals {
+                is_leaving: true,
+                pause: None,
+            };
+            if fleet.record_signals(&report.target, signals, now).0 {
+                self.log_leaving(&report.target, SOURCE_ENTRY);
             }
         }
         let knowledge = self.knowledge.borrow();
@@ -239,7 +303,7 @@
         let Some((target, limit)) = changed else {
             return;
         };
-        log_limit(&target, limit, "target");
+        log_limit(&target, limit, SOURCE_TARGET);
         if limit.is_none() {
             self.knowledge.borrow_mut().limits.remove(&target);
         }
@@ -248,6 +312,81 @@
         self.limit_changed.notify_one();
     }
 
+    /// Records that a target stays cold for at least this long.
+    pub fn mark_cold(&self, target: &TargetIncarnation, left: Millis, source: ColdSource) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let known = fleet
+            .get(&target.id)
+            .map(|known| known.record.incarnation());
+        if known.as_ref() != Some(target) {
+            return;
+        }
+        let is_new = fleet.mark_cold(&target.id, left, now);
+        // The fleet itself marks a target that was restarted, before this.
+        let is_restart = source == ColdSource::Restart && fleet.cold(&target.id, now).is_some();
+        drop(fleet);
+        if is_new || is_restart {
+            self.log_cold(&target.id, source);
+        }
+    }
+
+    /// Logs that a target has become cold.
+    pub fn log_cold(&self, target: &TargetId, source: ColdSource) {
+        let left = self.fleet.borrow().cold(target, self.now());
+        spdlog::info!("target_cold", kv: {
+            target = target.as_str(),
+            left_ms = left.map_or(0, |cold| cold.left.get()),
+            source = source.to_string(),
+        });
+        self.metrics.incr(cyc_obs::names::TARGETS_COLD).ok();
+    }
+
+    /// Records what a run of a target announced about itself in an answer to this entry.
+    pub fn record_signals(&self, target: &TargetIncarnation, signals: Signals) {
+        if signals.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let (is_leaving, is_paused) = fleet.record_signals(target, signals, now);
+        drop(fleet);
+        if is_leaving {
+            self.log_leaving(target, SOURCE_TARGET);
+            // Without a start time, other entries could not tell a later run from this one.
+            if target.started_at.is_some() {
+                let mut knowledge = self.knowledge.borrow_mut();
+                if knowledge.leaving.record(target, Millis::ZERO, now) {
+                    self.news_added.notify_one();
+                }
+            }
+        }
+        if let Some(pause) = signals.pause.filter(|pause| !pause.is_zero()) {
+            self.metrics.incr(cyc_obs::names::TARGET_PAUSES).ok();
+            if is_paused {
+                spdlog::info!("target_paused", kv: {
+                    target = target.id.as_str(),
+                    pause_ms = pause.get(),
+                });
+            }
+        }
+    }
+
+    fn log_leaving(&self, target: &TargetIncarnation, source: &str) {
+        self.metrics.incr(cyc_obs::names::TARGETS_LEAVING).ok();
+        spdlog::info!("target_leaving", kv: { target = target.id.as_str(), source = source });
+    }
+
+    /// Forgets the leaving targets that are not registered any more.
+    pub fn forget_gone_targets(&self) {
+        let fleet = self.fleet.borrow();
+        let mut knowledge = self.knowledge.borrow_mut();
+        knowledge.leaving.set_registered(|target| {
+            let known = fleet.get(&target.id);
+            known.is_some_and(|known| known.record.incarnation() == *target)
+        });
+    }
+
     /// Records that a prompt with these shared parts was answered.
     pub fn clear_prompt(&self, parts: &[PromptPart]) {
         let mut knowledge = self.knowledge.borrow_mut();
@@ -261,6 +400,6 @@
         let targets = self.targets.borrow();
         self.fleet
             .borrow_mut()
-            .set_targets(targets.records(), self.now());
+            .set_targets(targets.current_records(), self.now());
     }
 }
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -43,3 +43,20 @@
 pub const TARGETS_CRASHED: &str = "targets_crashed";
 /// Counter: requests that were not sent to a target because of the limit that it names.
 pub const LIMIT_DENIALS: &str = "limit_denials";
+/// Counter: targets that became cold, as far as this process knows.
+pub const TARGETS_COLD: &str = "targets_cold";
+/// Counter: evacuations of availability zones that this process has followed.
+pub const ZONES_EVACUATED: &str = "zones_evacuated";
+/// Counter: evacuations that have ended.
+pub const ZONES_RETURNED: &str = "zones_returned";
+/// Counter: requests granted to cold targets.
+pub const COLD_GRANTS: &str = "cold_grants";
+/// Counter: requests that were not sent to a target because it is cold.
+pub const COLD_DENIALS: &str = "cold_denials";
+/// Counter: targets that said, to this entry or another one, that they leave.
+pub const TARGETS_LEAVING: &str = "targets_leaving";
+/// Counter: answers in which targets wanted no requests for a while.
+pub const TARGET_PAUSES: &str = "target_pauses";
+/// Counter: requests not sent to their target after it was chosen, because of what it had announced
+/// meanwhile.
+pub const SENDS_WITHHELD: &str = "sends_withheld";
