Targets that report their pace are selected by what would be late

One engine in six took most short prompts, and streams paused beside long prompts on slow machines.

Change: services whose targets do not report the figure are selected as on main: cyc_balance::choose is main's again, lanes are by count. Services whose targets do have no lanes; cyc_balance::timely weighs the risk of a late first event, of a late pause of the stream and of the streams already there, and the price of the target's time, and draws one of the near-equal targets. cyc_balance::load ages reports towards the usual load of the target and counts own sends since. Sized lanes and their tests are removed, because the cost replaces them; tests of learnt speeds report the figure now.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -7,39 +7,29 @@
 //!
 //! [`affinity`]: crate::affinity
 //!
-//! Lanes: some engines are set aside for short prompts, see [`lane`], so that streams of short
-//! prompts do not share an engine with long ones while the other lane has capacity. How much a prompt
-//! may cost the streams of the other lane depends on the pauses that their callers accept.
+//! Lanes: an engine prefills a long prompt in several steps, which also delay the next token of
+//! every stream on that engine. In each availability zone some engines are set aside for short
+//! prompts, so that streams of short prompts do not share an engine with long ones while the other
+//! lane has capacity.
 //!
-//! [`lane`]: crate::lane
+//! Services whose targets report how long work takes at the moment have no lanes and are weighed by
+//! [`timely`] instead.
+//!
+//! [`timely`]: crate::timely
 //!
 //! Plain services: the least loaded target, preferably in the entry's availability zone.
 
 use cyc_types::Millis;
 
 pub use crate::lane::{LONG_PROMPT_TOKENS, Lane, lanes};
-use crate::{
-    prompt::PromptPart,
-    speed::{Slowdown, Speed},
-};
+use crate::prompt::PromptPart;
 
 /// Prefill steps that delay concurrent streams by less than a pause that callers notice.
 const UNNOTICED_PREFILL_STEPS: u64 = 2;
-/// Prompt tokens that an engine prefills in one step, during which no stream on it advances.
-const PREFILL_STEP_TOKENS: f64 = 2_048.0;
-/// Bounds of the penalty for the other lane, relative to that for a pause of half the longest one.
-const PAUSE_BOUNDS: (f64, f64) = (0.5, 2.0);
-/// Fraction of a target's memory that requests use without waiting or preempting others.
-const USABLE_MEMORY: f64 = 0.85;
-/// Bound of the estimated lack of memory, relative to the part that should stay free: shared parts
-/// are counted for each request, so that the estimate may be far too high.
-const MAX_MEMORY_EXCESS: f64 = 2.0;
-
 /// Cost weights of target selection.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
-    /// Prompt tokens that an engine is assumed to prefill per millisecond until its answers and
-    /// those of similar engines tell.
+    /// Prompt tokens that an engine is assumed to prefill per millisecond.
     pub prompt_tokens_per_ms: f64,
     /// Delay per request that the target is known to run.
     pub running_ms: f64,
@@ -55,16 +45,8 @@
     /// Penalty for using the other lane: the cost of a long prompt to the streams on the same
     /// engine.
     pub lane_ms: f64,
-    /// Penalty for a long prompt that uses the other lane where the pauses of streams matter, if a
-    /// prefill step there makes streams pause for half of the longest pause.
-    pub pause_ms: f64,
-    /// The same for a stream that uses the lane of long prompts. It is lower, because waiting in its
-    /// own lane makes the stream late as well, and only itself.
-    pub own_pause_ms: f64,
     /// Cost of each prefill step beyond the second to each concurrent stream.
     pub interference_ms: f64,
-    /// Delay on a target whose memory is full; requests there wait or preempt others.
-    pub memory_ms: f64,
     /// Penalty for a target in another availability zone, which also covers the price of the
     /// traffic.
     pub zone_ms: f64,
@@ -79,10 +61,7 @@
             waiting_ms: 60.0,
             reprefill_factor: 2.5,
             lane_ms: 250.0,
-            pause_ms: 600.0,
-            own_pause_ms: 300.0,
             interference_ms: 30.0,
-            memory_ms: 400.0,
             zone_ms: 12.0,
         }
     }
@@ -113,16 +92,6 @@
     /// Fraction of time that the target spends on prefill, estimated from this entry's own requests
     /// and the number of entries. Decoding of all streams on the target waits meanwhile.
     pub prefill_fraction: f64,
-    /// What the answers of the target tell of its speed.
-    pub speed: Speed,
-    /// Speed of the targets of the service in the mean.
-    pub typical: Speed,
-    /// How much longer work takes on the target's machine at the moment.
-    pub slowdown: Slowdown,
-    /// Estimated fraction of the target's memory that requests hold; 0 if its size is not known.
-    pub memory_fraction: f64,
-    /// Fraction of the target's memory that the whole prompt and its answer would take.
-    pub own_memory_fraction: f64,
     /// Measured time to first byte relative to the expected one, averaged; 1 is normal.
     pub slowness: f64,
     /// Number of leading shared parts of the prompt that are probably cached on the target, because
@@ -130,24 +99,6 @@
     pub cached_parts: usize,
 }
 
-/// Which pauses between the events of a stream its callers notice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Pauses {
-    /// The longest pause with which an answer is on time.
-    pub longest: Millis,
-    /// Output tokens per event. Each takes a step, and each step may prefill a part of a prompt.
-    pub tokens_per_event: u32,
-}
-
-impl Pauses {
-    /// The pause that a long prompt causes on a target, as a fraction of the longest one.
-    fn fraction(self, candidate: &Candidate<'_>) -> f64 {
-        let step_ms = PREFILL_STEP_TOKENS * candidate.speed.ms_per_token;
-        let pause_ms = step_ms * f64::from(self.tokens_per_event) * candidate.slowdown.get();
-        pause_ms / (self.longest.get() as f64).max(1.0)
-    }
-}
-
 /// A prompt as an input of the selection.
 #[derive(Debug, Clone, Copy)]
 pub struct PromptInput<'a> {
@@ -155,9 +106,18 @@
     pub input: u64,
     /// The parts that other requests may have in common.
     pub shared: &'a [PromptPart],
-    /// The pauses that matter if the prompt uses the other lane: those of its own stream for a short
-    /// prompt, those of the streams of short prompts for a long one.
-    pub pauses: Option<Pauses>,
+}
+
+impl PromptInput<'_> {
+    /// Estimates the tokens that a target has to prefill if it has this many leading shared parts
+    /// cached, or this fraction of all.
+    pub fn uncached_tokens(&self, cached_parts: usize, affinity: f64) -> u64 {
+        let all: u64 = self.shared.iter().map(|part| part.tokens.get()).sum();
+        let cached = &self.shared[..cached_parts.min(self.shared.len())];
+        let cached: u64 = cached.iter().map(|part| part.tokens.get()).sum();
+        let assumed = (all as f64 * affinity) as u64;
+        self.input.saturating_sub(cached.max(assumed))
+    }
 }
 
 /// The selected target and its estimates.
@@ -173,20 +133,6 @@
     pub ahead: u64,
 }
 
-impl Candidate<'_> {
-    /// Time that work takes on the target relative to the other targets of the service.
-    fn time_factor(&self) -> f64 {
-        self.speed.ms_per_token / self.typical.ms_per_token * self.slowdown.get()
-    }
-
-    /// Delay of a request for want of memory.
-    fn memory_delay(&self, options: &Options) -> f64 {
-        let fraction = self.memory_fraction + self.own_memory_fraction;
-        let excess = (fraction - USABLE_MEMORY) / (1.0 - USABLE_MEMORY);
-        excess.clamp(0.0, MAX_MEMORY_EXCESS) * options.memory_ms
-    }
-}
-
 /// Selects a target; `None` if there are no candidates. `prompt` is `None` for plain services.
 pub fn choose(
     candidates: &[Candidate<'_>],
@@ -209,14 +155,11 @@
     let costs = candidates.iter().enumerate().map(|(index, candidate)| {
         let uncached = uncached_tokens(candidate, prompt);
         let reprefill = uncached.saturating_sub(unshared) as f64 * (options.reprefill_factor - 1.0);
-        let ms_per_token = candidate.speed.ms_per_token;
-        let time_factor = candidate.time_factor();
-        let prefill =
-            (candidate.pending_tokens + uncached) as f64 * ms_per_token * candidate.slowdown.get();
+        let prefill = (candidate.pending_tokens + uncached) as f64 / options.prompt_tokens_per_ms;
         let running = f64::from(candidate.running.max(candidate.in_flight));
         let contention = running * options.running_ms;
         let steps = (uncached / LONG_PROMPT_TOKENS).saturating_sub(UNNOTICED_PREFILL_STEPS);
-        let interference = running * steps as f64 * options.interference_ms * time_factor;
+        let interference = running * steps as f64 * options.interference_ms;
         let queue = f64::from(candidate.waiting) * options.waiting_ms;
         let zone = if candidate.is_same_zone {
             0.0
@@ -224,26 +167,14 @@
             options.zone_ms
         };
         let prefill_delay = candidate.prefill_fraction.powi(2) * options.prefill_ms;
-        let delay = candidate.speed.delay_ms - candidate.typical.delay_ms;
-        let work = prefill + (contention + queue) * time_factor;
-        let wait = work * candidate.slowness.max(0.1) + delay;
-        let reprefill = reprefill * ms_per_token;
-        let memory = candidate.memory_delay(options);
-        let lane = match (candidate.lane.accepts(prompt.input), prompt.pauses) {
-            (true, _) => 0.0,
-            (false, None) => options.lane_ms,
-            (false, Some(pauses)) => {
-                let (least, most) = PAUSE_BOUNDS;
-                let relative = 2.0 * pauses.fraction(candidate);
-                let base = match Lane::Short.accepts(prompt.input) {
-                    true => options.own_pause_ms,
-                    false => options.pause_ms,
-                };
-                base * relative.clamp(least, most)
-            }
+        let wait = (prefill + contention + queue) * candidate.slowness.max(0.1);
+        let reprefill = reprefill / options.prompt_tokens_per_ms;
+        let lane = match candidate.lane.accepts(prompt.input) {
+            true => 0.0,
+            false => options.lane_ms,
         };
         (
-            wait + reprefill + zone + lane + interference + prefill_delay + memory,
+            wait + reprefill + zone + lane + interference + prefill_delay,
             wait,
             index,
             uncached,
@@ -268,9 +199,7 @@
         } else {
             options.zone_ms
         };
-        let wait = (utilization * options.waiting_ms + queue)
-            * candidate.slowness.max(0.1)
-            * candidate.slowdown.get();
+        let wait = (utilization * options.waiting_ms + queue) * candidate.slowness.max(0.1);
         (wait + zone, wait, index)
     });
     let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -282,11 +211,6 @@
     })
 }
 
-/// Estimates the tokens that have to be prefilled.
 fn uncached_tokens(candidate: &Candidate<'_>, prompt: PromptInput<'_>) -> u64 {
-    let all: u64 = prompt.shared.iter().map(|part| part.tokens.get()).sum();
-    let cached = &prompt.shared[..candidate.cached_parts.min(prompt.shared.len())];
-    let cached: u64 = cached.iter().map(|part| part.tokens.get()).sum();
-    let assumed = (all as f64 * candidate.affinity) as u64;
-    prompt.input.saturating_sub(cached.max(assumed))
+    prompt.uncached_tokens(candidate.cached_parts, candidate.affinity)
 }
--- a/crates/balance/src/group.rs
+++ b/crates/balance/src/group.rs
@@ -94,11 +94,6 @@
         group.add(id, is_same_zone);
     }
 
-    /// One of the targets, the same at each call.
-    pub fn first(&self) -> Option<&TargetId> {
-        self.by_lane.values().find_map(|group| group.ids.first())
-    }
-
     /// Number of targets in a lane.
     pub fn lane_len(&self, lane: Lane) -> usize {
         self.by_lane.get(&lane).map_or(0, |group| group.ids.len())
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -1,13 +1,17 @@
 //! Target selection of an entry. All modules decide on plain inputs, without I/O or a clock.
 //!
-//! [`choose`] selects a target, [`group`] and [`affinity`] narrow the choice of a large service,
-//! [`lane`] sets targets aside for short prompts,
-//! [`speed`] learns the speed of targets, [`decay`] averages over time, and [`prompt`] contains the prompts of requests.
+//! [`choose`] selects a target, [`group`] and [`affinity`] narrow the choice of a large service, and
+//! [`lane`] sets targets aside for short prompts. Where targets report how long work takes at the
+//! moment, [`timely`] selects by what is late, [`service`], [`load`] and [`speed`] learn what it
+//! needs. [`decay`] averages over time, and [`prompt`] contains the prompts of requests.
 
 pub mod affinity;
 pub mod choose;
 pub mod decay;
 pub mod group;
 pub mod lane;
+pub mod load;
 pub mod prompt;
+pub mod service;
 pub mod speed;
+pub mod timely;
--- a/crates/balance/src/speed.rs
+++ b/crates/balance/src/speed.rs
@@ -22,13 +22,17 @@
 const MAX_RATE_FACTOR: f64 = 3.0;
 /// Longest learnt delay, in ms.
 const MAX_DELAY_MS: f64 = 1_000.0;
-/// Time constant with which a reported slowdown returns to normal: spells of other work on a
-/// machine last some 600 ms, so that one that is reported lasts 300 ms more in the mean.
-const SLOWDOWN_TIME_CONSTANT: Millis = Millis::new(300);
-/// The figure of a machine that works as usual.
+/// Time constant with which a report of the pace loses its weight: spells of other work on a machine
+/// last some 600 ms, so that one that is reported lasts 300 ms more in the mean.
+const SPELL_TIME_CONSTANT: Millis = Millis::new(300);
+/// The figure of a machine of usual speed.
 const USUAL_PERCENT: f64 = 100.0;
-/// Bounds of a reported slowdown.
-const SLOWDOWN_BOUNDS: (f64, f64) = (0.25, 8.0);
+/// Bounds of a reported factor.
+const FACTOR_BOUNDS: (f64, f64) = (0.25, 8.0);
+/// Weight of a report below the usual factor.
+const LOWER_WEIGHT: f64 = 0.5;
+/// Weight of a report above it.
+const HIGHER_WEIGHT: f64 = 0.03;
 
 /// Delay and prefill rate of a target.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -98,7 +102,7 @@
 
 impl SpeedEstimate {
     /// Records that the first event came `took_ms` after the request, when `tokens` had to be
-    /// prefilled, on a machine that works without a slowdown.
+    /// prefilled, converted to a machine of usual speed.
     pub fn record(&mut self, tokens: u64, took_ms: f64, typical: Speed, now: Millis) {
         let tokens = tokens as f64;
         let expected = typical.time_ms(tokens).max(1.0);
@@ -132,31 +136,88 @@
     }
 }
 
-/// How much longer work takes on a machine at a moment, as its target reports; 1 is usual.
+/// How long work takes on a target's machine, relative to a machine of usual speed.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Slowdown(f64);
+pub struct Pace {
+    /// The factor without other work on the machine. Invariant: above zero.
+    pub usual: f64,
+    /// The last reported factor.
+    pub reported: f64,
+    /// The chance that the machine still does what it did at the report.
+    pub kept: f64,
+}
+
+impl Pace {
+    /// The pace of a target that has not reported any.
+    pub fn unknown(usual: f64) -> Self {
+        Self {
+            usual,
+            reported: usual,
+            kept: 0.0,
+        }
+    }
 
-impl Default for Slowdown {
-    fn default() -> Self {
-        Self(1.0)
+    /// The expected factor.
+    pub fn expected(&self) -> f64 {
+        self.usual + (self.reported - self.usual) * self.kept
     }
 }
 
-impl Slowdown {
-    /// Creates a slowdown from the time that work takes, in percent of the usual time.
-    pub fn from_percent(percent: u32) -> Self {
-        let (least, most) = SLOWDOWN_BOUNDS;
-        Self((f64::from(percent) / USUAL_PERCENT).clamp(least, most))
+/// The pace of a target, from its reports.
+#[derive(Debug, Clone, Copy)]
+pub struct PaceEstimate {
+    usual: f64,
+    reported: f64,
+    at: Millis,
+}
+
+impl PaceEstimate {
+    /// Creates the estimate from a first report: the time that work takes, in percent of that on a
+    /// machine of usual speed.
+    pub fn new(percent: u32, now: Millis) -> Self {
+        let factor = factor(percent);
+        Self {
+            usual: factor,
+            reported: factor,
+            at: now,
+        }
     }
 
-    /// The factor on the time of work.
-    pub fn get(self) -> f64 {
-        self.0
+    /// Records a report. Other work only slows a machine down, so that the usual factor follows low
+    /// reports at once and high ones slowly.
+    pub fn record(&mut self, percent: u32, now: Millis) {
+        let factor = factor(percent);
+        let weight = match factor < self.usual {
+            true => LOWER_WEIGHT,
+            false => HIGHER_WEIGHT,
+        };
+        self.usual += (factor - self.usual) * weight;
+        self.reported = factor;
+        self.at = now;
+    }
+
+    /// The last reported factor relative to the usual one.
+    pub fn ratio(&self) -> f64 {
+        self.reported / self.usual
     }
 
-    /// The factor that is expected this long after the report.
-    pub fn after(self, age: Millis) -> Self {
-        let kept = (-(age.get() as f64) / SLOWDOWN_TIME_CONSTANT.get() as f64).exp();
-        Self(1.0 + (self.0 - 1.0) * kept)
+    /// The factor without other work on the machine.
+    pub fn usual(&self) -> f64 {
+        self.usual
     }
+
+    /// The pace at `now`.
+    pub fn get(&self, now: Millis) -> Pace {
+        let age = now.saturating_sub(self.at).get() as f64;
+        Pace {
+            usual: self.usual,
+            reported: self.reported,
+            kept: (-age / SPELL_TIME_CONSTANT.get() as f64).exp(),
+        }
+    }
+}
+
+fn factor(percent: u32) -> f64 {
+    let (least, most) = FACTOR_BOUNDS;
+    (f64::from(percent) / USUAL_PERCENT).clamp(least, most)
 }
--- a/crates/gateway/benches/choose.rs
+++ b/crates/gateway/benches/choose.rs
@@ -50,6 +50,7 @@
     let required = Requirements {
         service: &service,
         connections: 100,
+        objective: None,
         pauses: None,
         tried: &[],
         may_probe: true,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -16,16 +16,18 @@
 use crate::{
     affinity::PrefixDemand,
     call::{PartId, Prompt, PromptPart, PromptSize},
-    choose::{self, Candidate, Choice, Lane, Pauses, PromptInput},
+    choose::{self, Candidate, Choice, Lane, PromptInput},
     config::ColdStart,
     conn::Pool,
     decay::DecayingSum,
     group::ServiceTargets,
-    lane::{self, EngineCapacity, LanePlan},
     limit::{ColdWord, Coldness, LimitWord, TargetLimit},
+    load::{ExpectedLoad, LoadEstimate},
     member::{Record, TargetIncarnation, TargetState},
     port::StatedLimit,
-    speed::{Slowdown, Speed, SpeedEstimate},
+    service::{ClassFractions, PaceClass, ServiceProfile},
+    speed::{Pace, PaceEstimate, Speed, SpeedEstimate},
+    timely::{self, Engine, Pauses, Workload},
 };
 
 /// Consecutive failures that eject a target.
@@ -50,10 +52,6 @@
 /// How alike the targets of a service are assumed to be in their share of the prompts: the weight
 /// of the average, in requests, against the requests that an entry has sent to one target.
 const PREFILL_PRIOR_REQUESTS: f64 = 4.0;
-/// Time after which longer pauses replace shorter ones that no stream has asked for.
-const PAUSES_TTL: Millis = Millis::MINUTE;
-/// Time between two checks of the size of lanes.
-const LANE_CHECK_INTERVAL: Millis = Millis::new(1_000);
 /// Weight of a new sample in the average of slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Without new samples, slowness moves halfway back to 1 in this time.
@@ -68,8 +66,8 @@
     pub waiting: u32,
     /// Requests that the target runs concurrently.
     pub slots: u32,
-    /// Time that work takes on the target's machine at the moment, in percent of the usual time;
-    /// `None` if the target does not tell.
+    /// Time that work takes on the target's machine at the moment, in percent of the time on a
+    /// machine of usual speed; `None` if the target does not tell.
     pub work_percent: Option<u32>,
 }
 
@@ -102,27 +100,36 @@
     requests: f64,
     tokens_per_request: f64,
     other_entries: f64,
-    /// Speed of the targets of the service.
-    typical: Speed,
+    /// Tokens that a target can prefill in the time over which requests are counted.
+    capacity: f64,
 }
 
 impl AveragePrefill {
     /// Estimates the fraction of time that a target spends on prefill for all entries, which send
     /// about as much to a service each. The few requests that this entry has sent to the target
-    /// tell little about the other entries, which are assumed to send faster targets more, so that
-    /// all targets spend the same time on their requests.
-    fn fraction(&self, own: &Prefill, speed: Speed, now: Millis) -> f64 {
+    /// tell little about the other entries.
+    fn fraction(&self, own: &Prefill, now: Millis) -> f64 {
         if self.requests <= 0.0 {
             return 0.0;
         }
         let expected = (PREFILL_PRIOR_REQUESTS + own.requests(now))
             / (PREFILL_PRIOR_REQUESTS / self.requests + 1.0);
         let others = expected * self.other_entries * self.tokens_per_request;
-        let time_ms = own.tokens(now) * speed.ms_per_token + others * self.typical.ms_per_token;
-        (time_ms / PREFILL_TIME_CONSTANT.get() as f64).min(1.0)
+        ((own.tokens(now) + others) / self.capacity).min(1.0)
     }
 }
 
+/// What a request to a service needs to weigh its targets by their pace.
+#[derive(Debug)]
+struct ServiceView {
+    workload: Workload,
+    typical: Speed,
+    usual_pace: f64,
+    load: ExpectedLoad,
+    classes: ClassFractions,
+    memory: Memory,
+}
+
 /// The memory of the targets of a service, for one request.
 #[derive(Debug, Clone, Copy)]
 struct Memory {
@@ -137,45 +144,15 @@
 impl Memory {
     /// Estimates the fraction of a target's memory that is held. Requests of other entries are
     /// assumed to hold as much as those of this one.
-    fn used(&self, held: u64, running: u32, in_flight: u32) -> f64 {
+    fn used(&self, held: u64, running: f64, in_flight: u32) -> f64 {
         let Some(capacity) = self.capacity else {
             return 0.0;
         };
-        let others = f64::from(running.saturating_sub(in_flight)) * self.per_request;
+        let others = (running - f64::from(in_flight)).max(0.0) * self.per_request;
         (held as f64 + others) / (capacity.get() as f64).max(1.0)
     }
 }
 
-/// What this entry knows of the targets of a service together.
-#[derive(Debug, Default)]
-struct ServiceProfile {
-    speed: SpeedEstimate,
-    /// Tokens that fit in the memory of each target.
-    memory: Option<Tokens>,
-    /// Tokens held by this entry's requests that have not ended.
-    held_tokens: u64,
-    /// Number of these requests.
-    holders: u64,
-    lanes: LanePlan,
-    lanes_checked_at: Millis,
-    /// The shortest pauses that matter to streams of short prompts, and when one asked for them.
-    pauses: Option<(Pauses, Millis)>,
-}
-
-impl ServiceProfile {
-    /// Records the pauses of a stream of a short prompt. Returns true if none mattered before.
-    fn record_pauses(&mut self, pauses: Pauses, now: Millis) -> bool {
-        let known = self.pauses;
-        let is_current = known.is_some_and(|(known, at)| {
-            known.longest < pauses.longest && now.saturating_sub(at) < PAUSES_TTL
-        });
-        if !is_current {
-            self.pauses = Some((pauses, now));
-        }
-        known.is_none()
-    }
-}
-
 /// A target and its state.
 #[derive(Debug)]
 pub struct Target {
@@ -193,13 +170,16 @@
     /// When the target last answered without a limit.
     unlimited_at: Millis,
     speed: SpeedEstimate,
+    /// `None` until the target reports its pace.
+    pace: Option<PaceEstimate>,
+    expected_load: LoadEstimate,
+    /// Tokens of the prompts and answers of this entry's attempts that have not ended.
+    held_tokens: u64,
     /// See [`Fleet::cold`], which also counts an ejected target as cold.
     cold: Coldness,
     announcement: Announcement,
     slowness: f64,
     slowness_at: Millis,
-    /// Tokens of the prompts and answers of this entry's attempts that have not ended.
-    held_tokens: u64,
     cached: HashMap<PartId, Millis>,
 }
 
@@ -222,11 +202,13 @@
             limit: None,
             unlimited_at: Millis::ZERO,
             speed: SpeedEstimate::default(),
+            pace: None,
+            expected_load: LoadEstimate::default(),
+            held_tokens: 0,
             cold: Coldness::default(),
             announcement: Announcement::default(),
             slowness: 1.0,
             slowness_at: now,
-            held_tokens: 0,
             cached: HashMap::new(),
         }
     }
@@ -251,21 +233,6 @@
         1.0 + (self.slowness - 1.0) * kept
     }
 
-    fn load(&self, now: Millis) -> Load {
-        let load = self.load;
-        let load = load.filter(|(_, at)| now.saturating_sub(*at) <= LOAD_REPORT_TTL);
-        load.map_or(Load::default(), |(load, _)| load)
-    }
-
-    fn slowdown(&self, now: Millis) -> Slowdown {
-        let Some((load, at)) = self.load else {
-            return Slowdown::default();
-        };
-        let percent = load.work_percent;
-        let reported = percent.map_or(Slowdown::default(), Slowdown::from_percent);
-        reported.after(now.saturating_sub(at))
-    }
-
     fn cached_parts(&self, shared: &[PromptPart], now: Millis) -> usize {
         let is_cached = |part: &&PromptPart| {
             let at = self.cached.get(&part.id);
@@ -278,12 +245,13 @@
         &'a self,
         zone: &AvailabilityZone,
         average: &AveragePrefill,
-        memory: Memory,
         shared: &[PromptPart],
         now: Millis,
     ) -> Candidate<'a> {
-        let load = self.load(now);
-        let speed = self.speed.get(average.typical, now);
+        let load = self
+            .load
+            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_REPORT_TTL);
+        let load = load.map_or(Load::default(), |(load, _)| load);
         Candidate {
             id: self.record.id.as_str(),
             is_same_zone: self.record.zone == *zone,
@@ -294,17 +262,47 @@
             running: load.running,
             waiting: load.waiting,
             slots: self.record.slots,
-            prefill_fraction: average.fraction(&self.prefill, speed, now),
-            speed,
-            typical: average.typical,
-            slowdown: self.slowdown(now),
-            memory_fraction: memory.used(self.held_tokens, load.running, self.in_flight),
-            own_memory_fraction: memory.own,
+            prefill_fraction: average.fraction(&self.prefill, now),
             slowness: self.slowness(now),
             cached_parts: self.cached_parts(shared, now),
         }
     }
 
+    fn pace_class(&self, usual: f64) -> PaceClass {
+        let pace = self.pace.as_ref();
+        PaceClass::new(pace.map_or(usual, PaceEstimate::usual))
+    }
+
+    fn engine(
+        &self,
+        zone: &AvailabilityZone,
+        view: &ServiceView,
+        affinity: f64,
+        shared: &[PromptPart],
+        now: Millis,
+    ) -> Engine {
+        let unknown = Pace::unknown(view.usual_pace);
+        let pace = self.pace.map_or(unknown, |pace| pace.get(now));
+        let load = self.expected_load.get(view.load, self.in_flight, now);
+        let class = view.classes.get(self.pace_class(view.usual_pace));
+        Engine {
+            is_same_zone: self.record.zone == *zone,
+            affinity,
+            cached_parts: self.cached_parts(shared, now),
+            pending_tokens: self.pending_tokens,
+            load,
+            slots: self.record.slots,
+            prefill_fraction: class,
+            speed: self.speed.get(view.typical, now),
+            pace,
+            memory_fraction: view
+                .memory
+                .used(self.held_tokens, load.running, self.in_flight),
+            own_memory_fraction: view.memory.own,
+            slowness: self.slowness(now),
+        }
+    }
+
     /// Returns true if the target works and can start one more request at once, as far as this entry
     /// knows.
     fn has_room(&self, now: Millis) -> bool {
@@ -350,6 +348,8 @@
     pub service: &'a ServiceId,
     /// Connections that this entry may have open to one target.
     pub connections: u32,
+    /// Time within which the first event should come, if there is an objective.
+    pub objective: Option<Millis>,
     /// The pauses that matter to the caller, if any do.
     pub pauses: Option<Pauses>,
     /// Targets that were tried before.
@@ -496,27 +496,19 @@
     }
 
     fn assign_lanes(&mut self) {
-        let mut services: BTreeMap<ServiceId, BTreeMap<AvailabilityZone, Vec<TargetId>>> =
-            BTreeMap::new();
+        let mut groups: BTreeMap<(ServiceId, AvailabilityZone), Vec<TargetId>> = BTreeMap::new();
         let ready = self.targets.values().map(|target| &target.record);
         for record in ready.filter(|record| record.state == TargetState::Ready) {
-            let zones = services.entry(record.service.clone()).or_default();
-            let zone = zones.entry(record.zone.clone()).or_default();
-            zone.push(record.id.clone());
+            let group = (record.service.clone(), record.zone.clone());
+            groups.entry(group).or_default().push(record.id.clone());
         }
-        for (service, zones) in &services {
-            let names = zones.values().map(|ids| {
-                let names = ids.iter().map(TargetId::as_str);
-                names.collect::<Vec<&str>>()
-            });
-            let names: Vec<Vec<&str>> = names.collect();
-            let profile = self.profiles.get(service);
-            let lanes = match profile.filter(|profile| profile.pauses.is_some()) {
-                Some(profile) => lane::sized_lanes(&names, profile.lanes.size()),
-                None => names.iter().map(|names| lane::lanes(names)).collect(),
+        for ((service, _), ids) in &groups {
+            let names: Vec<&str> = ids.iter().map(TargetId::as_str).collect();
+            let lanes = match self.is_paced(service) {
+                true => vec![Lane::Any; names.len()],
+                false => choose::lanes(&names),
             };
-            let ids = zones.values().flatten();
-            for (id, lane) in ids.zip(lanes.into_iter().flatten()) {
+            for (id, lane) in ids.iter().zip(lanes) {
                 if let Some(target) = self.targets.get_mut(id) {
                     target.lane = lane;
                 }
@@ -529,6 +521,12 @@
         self.entries = entries.max(1);
     }
 
+    /// Returns true if the targets of a service are selected by the pace that they report.
+    pub fn is_paced(&self, service: &ServiceId) -> bool {
+        let profile = self.profiles.get(service);
+        profile.is_some_and(ServiceProfile::is_active)
+    }
+
     /// Sets the tokens that fit in the memory of each target of a service.
     pub fn set_memory(&mut self, service: &ServiceId, memory: Option<Tokens>) {
         match self.profiles.get_mut(service) {
@@ -541,28 +539,6 @@
         Speed::new(BASE_LATENCY_MS, self.options.prompt_tokens_per_ms)
     }
 
-    /// The speed of the targets of a service in the mean.
-    pub fn typical_speed(&self, service: &ServiceId, now: Millis) -> Speed {
-        let assumed = self.assumed_speed();
-        let profile = self.profiles.get(service);
-        profile.map_or(assumed, |profile| profile.speed.get(assumed, now))
-    }
-
-    fn memory(&self, service: &ServiceId, prompt: Option<&Prompt>) -> Memory {
-        let profile = self.profiles.get(service);
-        let capacity = profile.and_then(|profile| profile.memory);
-        let (held, holders) =
-            profile.map_or((0, 0), |profile| (profile.held_tokens, profile.holders));
-        let own = prompt.map_or(0, |prompt| prompt.size().total().get());
-        Memory {
-            capacity,
-            per_request: (held + own) as f64 / (holders + 1) as f64,
-            own: capacity.map_or(0.0, |capacity| {
-                own as f64 / (capacity.get() as f64).max(1.0)
-            }),
-        }
-    }
-
     /// Records that a target gets a request of this size, of which it has to prefill `uncached`
     /// tokens.
     pub fn start_generation(
@@ -572,36 +548,76 @@
         uncached: u64,
         now: Millis,
     ) {
-        let tokens = size.total().get();
+        let assumed = self.assumed_speed();
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        target.held_tokens += tokens;
+        target.held_tokens += size.total().get();
+        target.expected_load.send();
         let profile = self.profiles.entry(target.record.service.clone());
         let profile = profile.or_default();
-        profile.held_tokens += tokens;
-        profile.holders += 1;
-        profile.lanes.start(size, uncached, now);
+        let speed = profile.speed.get(assumed, now);
+        let class = target.pace_class(profile.usual_pace());
+        profile.start(size, uncached, class, speed, now);
     }
 
     /// Records the end of a request of this size, which was sent to a target of `service`.
-    pub fn end_generation(
-        &mut self,
-        service: &ServiceId,
-        id: &TargetId,
-        size: PromptSize,
-        now: Millis,
-    ) {
-        let tokens = size.total().get();
+    pub fn end_generation(&mut self, service: &ServiceId, id: &TargetId, size: PromptSize) {
         if let Some(target) = self.targets.get_mut(id) {
-            target.held_tokens = target.held_tokens.saturating_sub(tokens);
+            target.held_tokens = target.held_tokens.saturating_sub(size.total().get());
         }
         // The target may have left in the meantime; its service has still one request less.
         if let Some(profile) = self.profiles.get_mut(service) {
-            profile.held_tokens = profile.held_tokens.saturating_sub(tokens);
-            profile.holders = profile.holders.saturating_sub(1);
-            profile.lanes.end(size, now);
+            profile.end(size);
+        }
+    }
+
+    /// Prepares the choice among the targets of a service that report their pace; `None` if they do
+    /// not.
+    fn service_view(
+        &mut self,
+        required: &Requirements<'_>,
+        prompt: &Prompt,
+        now: Millis,
+    ) -> Option<ServiceView> {
+        let profile = self.profiles.get_mut(required.service)?;
+        if !profile.is_active() {
+            return None;
+        }
+        if let Some(pauses) = required.pauses {
+            profile.record_pauses(pauses, now);
+        }
+        if profile.update(now) {
+            self.assign_lanes();
+            self.assign_services();
+            return None;
+        }
+        if profile.is_census_due(now) {
+            let usual = profile.usual_pace();
+            let ready = self.targets.values().filter(|target| {
+                target.record.state == TargetState::Ready
+                    && target.record.service == *required.service
+            });
+            profile.set_classes(ready.map(|target| target.pace_class(usual)), now);
         }
+        let assumed = self.assumed_speed();
+        let profile = self.profiles.get(required.service)?;
+        let own = prompt.size().total().get();
+        let capacity = profile.memory;
+        Some(ServiceView {
+            workload: profile.workload(self.entries, now),
+            typical: profile.speed.get(assumed, now),
+            usual_pace: profile.usual_pace(),
+            load: profile.load(now),
+            classes: profile.class_fractions(self.entries, now),
+            memory: Memory {
+                capacity,
+                per_request: profile.held_per_request(own),
+                own: capacity.map_or(0.0, |capacity| {
+                    own as f64 / (capacity.get() as f64).max(1.0)
+                }),
+            },
+        })
     }
 
     /// Looks up a target by its id.
@@ -615,7 +631,6 @@
         id: &ServiceId,
         service: &ServiceTargets,
         lane: Lane,
-        typical: Speed,
         now: Millis,
     ) -> AveragePrefill {
         let all = self.prefill.get(&(id.clone(), lane));
@@ -625,7 +640,7 @@
             requests: requests / service.lane_len(lane).max(1) as f64,
             tokens_per_request: all.tokens(now) / requests.max(f64::MIN_POSITIVE),
             other_entries: (self.entries - 1) as f64,
-            typical,
+            capacity: self.options.prompt_tokens_per_ms * PREFILL_TIME_CONSTANT.get() as f64,
         }
     }
 
@@ -687,9 +702,12 @@
         now: Millis,
     ) -> Option<(TargetId, Choice)> {
         let shared = prompt.map_or(&[][..], Prompt::shared);
-        let pauses = prompt.and_then(|prompt| self.update_lanes(required, prompt, now));
-        let typical = self.typical_speed(required.service, now);
-        let preferred = self.preferred_count(prompt, shared, typical, now);
+        let view = prompt.and_then(|prompt| self.service_view(required, prompt, now));
+        let tokens_per_ms = match &view {
+            Some(view) => view.typical.tokens_per_ms() / view.usual_pace,
+            None => self.options.prompt_tokens_per_ms,
+        };
+        let preferred = self.preferred_count(prompt, shared, tokens_per_ms, now);
         let service = self.services.get(required.service)?;
         let cold_start = self.cold_starts.get(required.service);
         let usable = |id: &TargetId| {
@@ -743,89 +761,55 @@
             };
             return Some((probe.clone(), choice));
         }
-        let average = |lane| self.average_prefill(required.service, service, lane, typical, now);
+        let input = prompt.map(|prompt| PromptInput {
+            input: prompt.input.get(),
+            shared,
+        });
+        if let (Some(view), Some(prompt), Some(input)) = (&view, prompt, input) {
+            let engines = considered.targets.iter().filter_map(|(id, affinity)| {
+                let target = self.targets.get(*id)?;
+                Some(target.engine(&self.zone, view, *affinity, shared, now))
+            });
+            let engines: Vec<Engine> = engines.collect();
+            let request = timely::Request {
+                prompt: input,
+                objective: required.objective,
+                pauses: required.pauses,
+                output: prompt.max_output.get(),
+            };
+            let near = self.rng.random();
+            let choice = timely::choose(&engines, &request, &view.workload, near)?;
+            let (id, _) = considered.targets[choice.index];
+            return Some((id.clone(), choice));
+        }
+        let average = |lane| self.average_prefill(required.service, service, lane, now);
         let averages = [Lane::Any, Lane::Short, Lane::Long].map(|lane| (lane, average(lane)));
         let averages = BTreeMap::from(averages);
-        let memory = self.memory(required.service, prompt);
         let candidates = considered.targets.iter().filter_map(|(id, affinity)| {
             let target = self.targets.get(*id)?;
             Some(Candidate {
                 affinity: *affinity,
-                ..target.candidate(&self.zone, &averages[&target.lane], memory, shared, now)
+                ..target.candidate(&self.zone, &averages[&target.lane], shared, now)
             })
         });
         let candidates: Vec<Candidate<'_>> = candidates.collect();
-        let input = prompt.map(|prompt| PromptInput {
-            input: prompt.input.get(),
-            shared,
-            pauses,
-        });
         let choice = choose::choose(&candidates, input, &self.options)?;
         let (id, _) = considered.targets[choice.index];
         Some((id.clone(), choice))
     }
 
-    /// Adapts the lanes of a service where pauses matter. Returns the pauses that a prompt has to
-    /// heed if it uses the other lane.
-    fn update_lanes(
-        &mut self,
-        required: &Requirements<'_>,
-        prompt: &Prompt,
-        now: Millis,
-    ) -> Option<Pauses> {
-        let is_short = Lane::Short.accepts(prompt.input.get());
-        let own = required.pauses.filter(|_| is_short);
-        if own.is_none() && !self.profiles.contains_key(required.service) {
-            return None;
-        }
-        let speed = self.typical_speed(required.service, now);
-        let slots = self.slots(required.service);
-        let profile = self.profiles.entry(required.service.clone()).or_default();
-        let mut is_changed = own.is_some_and(|own| profile.record_pauses(own, now));
-        let (pauses, _) = profile.pauses?;
-        if now.saturating_sub(profile.lanes_checked_at) >= LANE_CHECK_INTERVAL {
-            profile.lanes_checked_at = now;
-            let before = profile.lanes.size();
-            if profile.lanes.update(EngineCapacity { speed, slots }, now) {
-                is_changed = true;
-                spdlog::info!("lanes_resized", kv: {
-                    service = required.service.as_str(),
-                    before = before.to_string(),
-                    after = profile.lanes.size().to_string(),
-                });
-            }
-        }
-        if is_changed {
-            self.assign_lanes();
-            self.assign_services();
-        }
-        match is_short {
-            true => own,
-            false => Some(pauses),
-        }
-    }
-
-    /// Requests that a target of a service runs concurrently.
-    fn slots(&self, service: &ServiceId) -> u32 {
-        let targets = self.services.get(service);
-        let first = targets.and_then(ServiceTargets::first);
-        let target = first.and_then(|id| self.targets.get(id));
-        target.map_or(1, |target| target.record.slots)
-    }
-
     /// Records the demand for the prefix of a prompt, and returns the number of its preferred
     /// targets.
     fn preferred_count(
         &mut self,
         prompt: Option<&Prompt>,
         shared: &[PromptPart],
-        typical: Speed,
+        tokens_per_ms: f64,
         now: Millis,
     ) -> usize {
         let (Some(prompt), Some(prefix)) = (prompt, shared.last()) else {
             return 0;
         };
-        let tokens_per_ms = typical.tokens_per_ms();
         let count = self
             .demand
             .preferred(prefix.id.get(), self.entries, tokens_per_ms, now);
@@ -863,10 +847,12 @@
             let slowness = target.slowness(now);
             target.slowness = slowness + (ratio.clamp(0.5, 8.0) - slowness) * SLOWNESS_WEIGHT;
             target.slowness_at = now;
-            let tokens = prefill.ahead + prefill.uncached;
-            let took_ms = prefill.took.get() as f64 / target.slowdown(now).get();
             let profile = self.profiles.entry(target.record.service.clone());
             let profile = profile.or_default();
+            let usual = profile.usual_pace();
+            let pace = target.pace.map_or(usual, |pace| pace.get(now).expected());
+            let took_ms = prefill.took.get() as f64 / pace;
+            let tokens = prefill.ahead + prefill.uncached;
             let typical = profile.speed.get(assumed, now);
             target.speed.record(tokens, took_ms, typical, now);
             profile.speed.record(tokens, took_ms, assumed, now);
@@ -875,8 +861,32 @@
 
     /// Stores the load reported with a response.
     pub fn record_load(&mut self, id: &TargetId, load: Load, now: Millis) {
-        if let Some(target) = self.targets.get_mut(id) {
-            target.load = Some((load, now));
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.load = Some((load, now));
+        target.expected_load.record(load.running, load.waiting, now);
+        if let Some(percent) = load.work_percent {
+            match &mut target.pace {
+                Some(pace) => pace.record(percent, now),
+                None => target.pace = Some(PaceEstimate::new(percent, now)),
+            }
+        }
+        let pace = target.pace.filter(|_| load.work_percent.is_some());
+        let service = &target.record.service;
+        let profile = match self.profiles.get_mut(service) {
+            Some(profile) => profile,
+            None => self.profiles.entry(service.clone()).or_default(),
+        };
+        let is_changed = profile.record_report(load.running, load.waiting, pace.as_ref(), now);
+        if is_changed {
+            let is_paced = profile.is_active();
+            spdlog::info!("selection_changed", kv: {
+                service = service.as_str(),
+                by_pace = is_paced,
+            });
+            self.assign_lanes();
+            self.assign_services();
         }
     }
 
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -15,7 +15,7 @@
 use super::{AdmittedRequest, Bill, RETRY_AFTER_REFUSED_PROMPT, RequestLog, retry_after};
 use crate::{
     call::{Call, Prompt, PromptPart, PromptSize},
-    choose::{Choice, Pauses},
+    choose::Choice,
     config::{RouteKind, Service},
     conn::{Conn, Pool},
     control::{self, BrokenAnswer},
@@ -24,6 +24,7 @@
     member::TargetIncarnation,
     port::{Protocol, ResponseInfo, TargetRequestInfo},
     state::{ColdSource, State},
+    timely::Pauses,
 };
 
 /// A request whose connection fails moves to another target until this many of its attempts have
@@ -177,7 +178,7 @@
         let now = self.state.now();
         let mut fleet = self.state.fleet.borrow_mut();
         if let Some(size) = self.size {
-            fleet.end_generation(&self.service, &self.target, size, now);
+            fleet.end_generation(&self.service, &self.target, size);
         }
         let was_ejected = fleet.is_ejected(&self.target, now);
         let is_ejected = fleet.end_attempt(&self.target, self.pending_tokens, self.verdict, now);
@@ -444,6 +445,7 @@
         let required = Requirements {
             service: &self.request.service,
             connections: connection_limit(service, entries),
+            objective: Some(self.request.route.objective),
             pauses: self.pauses(service),
             tried: &self.tried,
             may_probe: true,
--- a/crates/gateway/tests/gateway/cold.rs
+++ b/crates/gateway/tests/gateway/cold.rs
@@ -75,6 +75,7 @@
     let service = service();
     let required = Requirements {
         service: &service,
+        objective: None,
         pauses: None,
         connections: 600,
         tried,
--- a/crates/gateway/tests/gateway/group.rs
+++ b/crates/gateway/tests/gateway/group.rs
@@ -157,6 +157,7 @@
         let required = Requirements {
             service: &service,
             connections: 8,
+            objective: None,
             pauses: None,
             tried: &[],
             may_probe: true,
@@ -307,6 +308,7 @@
         let required = Requirements {
             service: &service,
             connections: 8,
+            objective: None,
             pauses: None,
             tried: &[],
             may_probe: true,
@@ -341,6 +343,7 @@
     let required = Requirements {
         service: &service,
         connections: 8,
+        objective: None,
         pauses: None,
         tried: &tried,
         may_probe: true,
@@ -361,6 +364,7 @@
         let required = Requirements {
             service: &service,
             connections: 100,
+            objective: None,
             pauses: None,
             tried: &[],
             may_probe: true,
@@ -389,6 +393,7 @@
     let required = Requirements {
         service: &service,
         connections: 100,
+        objective: None,
         pauses: None,
         tried: &[],
         may_probe: true,
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -71,6 +71,23 @@
     pub event_delay_ms: f64,
     /// Tokens that one event of a stream carries.
     pub tokens_per_event: u64,
+    /// Factors on the time of steps; the engines take them in turns. Invariant: not empty.
+    pub paces: Vec<f64>,
+    /// Engines report the factor with their load.
+    pub reports_pace: bool,
+    /// Other work on the engines' machines, if there is any.
+    pub spells: Option<Spells>,
+}
+
+/// Spells of other work on the machine of an engine, at random times.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Spells {
+    /// Part of the time.
+    pub share: f64,
+    /// Mean duration, in ms.
+    pub mean_ms: f64,
+    /// Factor on the time of steps meanwhile.
+    pub factor: f64,
 }
 
 /// `[service]`: a plain service, whose targets are identical.
@@ -322,9 +339,32 @@
             chunk_tokens: self.parse("chunk_tokens")?,
             event_delay_ms: self.parse("first_ms")?,
             tokens_per_event: self.parse("tokens_per_event")?,
+            paces: self.paces()?,
+            reports_pace: self.parse_or("reports_pace", false)?,
+            spells: self.spells()?,
         })
     }
 
+    /// Parses `paces = FACTOR, ...`.
+    fn paces(&self) -> Result<Vec<f64>, ScenarioError> {
+        let given = self.properties.get("paces").unwrap_or("1.0");
+        let paces = given.split(',').map(|text| text.trim().parse::<f64>().ok());
+        let paces: Option<Vec<f64>> = paces.collect();
+        let paces = paces.filter(|paces| paces.iter().all(|pace| *pace > 0.0));
+        paces.ok_or_else(|| self.invalid_value("paces", given))
+    }
+
+    fn spells(&self) -> Result<Option<Spells>, ScenarioError> {
+        if !self.properties.contains_key("spell_share") {
+            return Ok(None);
+        }
+        Ok(Some(Spells {
+            share: self.parse::<f64>("spell_share")?.clamp(0.0, 0.9),
+            mean_ms: self.parse_or("spell_ms", 600.0)?,
+            factor: self.parse_or("spell_x", 2.5)?,
+        }))
+    }
+
     fn kind(&self, name: &str) -> Result<Kind, ScenarioError> {
         let work = if self.properties.contains_key("work_ms") {
             Work::Call(self.parse("work_ms")?)
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -4,5 +4,7 @@
 mod engine;
 #[path = "model/experiment.rs"]
 mod experiment;
+#[path = "model/paces.rs"]
+mod paces;
 #[path = "model/scenario.rs"]
 mod scenario;
--- a/crates/model/tests/model/engine.rs
+++ b/crates/model/tests/model/engine.rs
@@ -20,6 +20,9 @@
         prompt_tokens_per_ms: 32.0,
         chunk_tokens: 4_096,
         event_delay_ms: 0.0,
+        paces: vec![1.0],
+        reports_pace: false,
+        spells: None,
         tokens_per_event: 1,
     }
 }
