--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -32,3 +32,5 @@
 mod shutdown;
 #[path = "gateway/store_health.rs"]
 mod store_health;
+#[path = "gateway/unpaced.rs"]
+mod unpaced;
