--- a/crates/balance/src/timely.rs
+++ b/crates/balance/src/timely.rs
@@ -41,7 +41,7 @@
 /// Cost of a millisecond of an idle target's time.
 const WORK_COST: f64 = 0.0005;
 /// Cost of the whole objective spent waiting for the first event.
-const WAIT_COST: f64 = 0.15;
+const WAIT_COST: f64 = 0.2;
 /// Cost of the last slot of a target.
 const FULL_COST: f64 = 0.5;
 /// Cost of a target whose memory is full; requests there wait or preempt others.
@@ -52,7 +52,7 @@
 const ZONE_COST: f64 = 0.01;
 /// Targets that cost at most this much more than the best one are as good, given how little is
 /// known of them.
-const NEAR_COST: f64 = 0.03;
+const NEAR_COST: f64 = 0.02;
 /// Objective of requests that have none.
 const DEFAULT_OBJECTIVE: Millis = Millis::new(1_000);
 /// Slowness up to which a target counts as normal; the reported speed explains the rest.
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -79,6 +79,15 @@
     }
 }
 
+/// What the caller of a request notices.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Time within which the first piece should come.
+    pub objective: Millis,
+    /// The pauses between the pieces of a stream.
+    pub pauses: Pauses,
+}
+
 /// An entry's view of one target.
 #[derive(Debug, Clone)]
 struct TargetView {
@@ -152,8 +161,7 @@
         &mut self,
         service: Service,
         prompt: Option<&Prompt>,
-        objective: Option<Millis>,
-        pauses: Option<Pauses>,
+        bounds: Bounds,
         tried: &[usize],
         now: Millis,
     ) -> Option<(usize, Choice)> {
@@ -184,8 +192,8 @@
                 let required = Requirements {
                     service: &service,
                     connections: u32::MAX,
-                    objective,
-                    pauses: pauses.filter(|_| self.policy == Policy::Product),
+                    objective: Some(bounds.objective),
+                    pauses: Some(bounds.pauses),
                     tried: &tried,
                     may_probe: true,
                     may_ask: true,
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     engine::{Engine, PromptTokens, Step},
-    entry::{self, Entry, Policy, Service},
+    entry::{self, Bounds, Entry, Policy, Service},
     plain::PlainTarget,
     queue::EventQueue,
     report::{Outcome, Report, RequestResult},
@@ -239,13 +239,16 @@
         let details = &self.requests[request];
         let entry = &mut self.entries[details.entry];
         let tried = &self.progress[request].tried;
-        let objective = self.scenario.kinds[details.kind].objective;
-        let pauses = Pauses {
-            longest: self.scenario.kinds[details.kind].pause,
-            tokens_per_event: self.scenario.engines.tokens_per_event as u32,
+        let kind = &self.scenario.kinds[details.kind];
+        let bounds = Bounds {
+            objective: kind.objective,
+            pauses: Pauses {
+                longest: kind.pause,
+                tokens_per_event: self.scenario.engines.tokens_per_event as u32,
+            },
         };
         let prompt = details.prompt.as_ref();
-        let chosen = entry.choose(service, prompt, Some(objective), Some(pauses), tried, now);
+        let chosen = entry.choose(service, prompt, bounds, tried, now);
         let Some((target, choice)) = chosen else {
             return self.refuse(request);
         };
