--- a/crates/balance/src/service.rs
+++ b/crates/balance/src/service.rs
@@ -30,6 +30,8 @@
 const PAUSES_TTL: Millis = Millis::MINUTE;
 /// Time between two counts of the targets of each class.
 const CENSUS_INTERVAL: Millis = Millis::new(2_000);
+/// Time between two log lines on the evenness of the load of a service.
+const EVENNESS_INTERVAL: Millis = Millis::new(30_000);
 /// Classes of pace in one doubling.
 const CLASSES_PER_DOUBLING: f64 = 3.0;
 /// Bounds of the load of a target relative to that of its class, where it stands for its prefill.
@@ -94,6 +96,7 @@
     tokens_squared: DecayingSum,
     classes: [ClassDemand; CLASSES],
     census_at: Option<Millis>,
+    evenness_at: Option<Millis>,
     /// The shortest pauses that matter, and when a stream asked for them.
     pauses: Option<(Pauses, Millis)>,
 }
@@ -177,6 +180,17 @@
             .is_none_or(|at| now.saturating_sub(at) >= CENSUS_INTERVAL)
     }
 
+    /// Returns true if the evenness of the load has to be shown again. The first time is an interval
+    /// after the first call.
+    pub fn is_evenness_due(&mut self, now: Millis) -> bool {
+        let at = *self.evenness_at.get_or_insert(now);
+        let is_due = now.saturating_sub(at) >= EVENNESS_INTERVAL;
+        if is_due {
+            self.evenness_at = Some(now);
+        }
+        is_due
+    }
+
     /// Sets how many targets of each class there are.
     pub fn set_classes(&mut self, targets: impl Iterator<Item = PaceClass>, now: Millis) {
         self.census_at = Some(now);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -20,6 +20,7 @@
     config::ColdStart,
     conn::Pool,
     decay::DecayingSum,
+    evenness::{Evenness, evenness},
     group::ServiceTargets,
     limit::{ColdWord, Coldness, LimitWord, TargetLimit},
     load::LoadEstimate,
@@ -637,6 +638,25 @@
         })
     }
 
+    /// How even the load of a service is, at most once in a while.
+    pub fn take_evenness(&mut self, service: &ServiceId, now: Millis) -> Option<Evenness> {
+        let profile = self.profiles.get_mut(service)?;
+        if !profile.is_evenness_due(now) {
+            return None;
+        }
+        let (usual, mean) = (profile.usual_pace(), profile.load(now));
+        let lasts = profile.request_time(now);
+        let ready = self.targets.values().filter(|target| {
+            target.record.state == TargetState::Ready && target.record.service == *service
+        });
+        evenness(ready.filter_map(|target| {
+            let age = target.expected_load.age(now)?;
+            let load = target.expected_load.get(mean, target.in_flight, lasts, now);
+            let pace = target.pace.as_ref().map_or(usual, PaceEstimate::usual);
+            Some(((load.running + load.waiting) * pace, age))
+        }))
+    }
+
     /// Looks up a target by its id.
     pub fn get(&self, id: &TargetId) -> Option<&Target> {
         self.targets.get(id)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,5 +32,7 @@
 pub mod store_health;
 pub mod stream;
 
-pub use cyc_balance::{affinity, choose, decay, group, lane, load, service, speed, timely};
+pub use cyc_balance::{
+    affinity, choose, decay, evenness, group, lane, load, service, speed, timely,
+};
 pub use daemon::{Settings, run};
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -451,7 +451,14 @@
             may_probe: true,
             may_ask,
         };
-        fleet.choose(&required, prompt, self.state.now())
+        let now = self.state.now();
+        let chosen = fleet.choose(&required, prompt, now);
+        let evenness = fleet.take_evenness(&self.request.service, now);
+        drop(fleet);
+        if let Some(evenness) = evenness {
+            self.state.show_evenness(&self.request.service, &evenness);
+        }
+        chosen
     }
 
     /// The pauses that matter to the caller, if the answer is a stream.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,10 +7,10 @@
     rc::Rc,
 };
 
-use cadence::CountedExt as _;
+use cadence::{CountedExt as _, Gauged as _};
 use cyc_obs::Metrics;
 use cyc_signal::Signals;
-use cyc_types::{ClientAccountId, Clock, Millis, PerSecond, TargetId, VmId};
+use cyc_types::{ClientAccountId, Clock, Millis, PerSecond, ServiceId, TargetId, VmId};
 use strum::{Display, IntoStaticStr};
 use tokio::{
     sync::{Notify, watch},
@@ -23,6 +23,7 @@
     config::Configuration,
     control::{BrokenAnswer, LoanFailures, PeerConnections, UnansweredPrompt},
     daemon::Settings,
+    evenness::Evenness,
     fleet::Fleet,
     limit::Grantor,
     member::{TargetIncarnation, TargetList},
@@ -342,6 +343,21 @@
         self.metrics.incr(cyc_obs::names::TARGETS_COLD).ok();
     }
 
+    /// Logs and counts how even the load of the targets of a service is.
+    pub fn show_evenness(&self, service: &ServiceId, evenness: &Evenness) {
+        let percent = (evenness.busiest * 100.0) as u64;
+        spdlog::info!("load_evenness", kv: {
+            service = service.as_str(),
+            busiest_percent = percent,
+            report_age_ms = evenness.report_age.get(),
+            targets = evenness.targets,
+        });
+        let name = format!("{}{service}", cyc_obs::names::LOAD_BUSIEST);
+        self.metrics.gauge(&name, percent).ok();
+        let name = format!("{}{service}", cyc_obs::names::LOAD_REPORT_AGE);
+        self.metrics.gauge(&name, evenness.report_age.get()).ok();
+    }
+
     /// Records what a run of a target announced about itself in an answer to this entry.
     pub fn record_signals(&self, target: &TargetIncarnation, signals: Signals) {
         if signals.is_empty() {
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -60,3 +60,7 @@
 /// Counter: requests not sent to their target after it was chosen, because of what it had announced
 /// meanwhile.
 pub const SENDS_WITHHELD: &str = "sends_withheld";
+/// Gauge by service: expected work at the busiest target, in percent of the mean.
+pub const LOAD_BUSIEST: &str = "load_busiest_percent.";
+/// Gauge by service: mean age of the last load reports of the targets, in ms.
+pub const LOAD_REPORT_AGE: &str = "load_report_age_ms.";
