Usual load follows faster, queues are not remembered; rate and delay by service

Cause: a target with a queue was avoided for seconds after the queue had gone, since it sent no reports; a rate for each target took queues for slowness.

Change: the usual load has a time constant of 4 s and a prior of two reports, expected queues are those of the class, the line through the answers is that of the service, times the pace of the target.

--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -13,9 +13,9 @@
 const WAITING_TIME_CONSTANT: Millis = Millis::new(500);
 /// Time constant of the usual load. An entry with a part of the traffic hears from a target every
 /// few seconds.
-const USUAL_TIME_CONSTANT: Millis = Millis::new(8_000);
+const USUAL_TIME_CONSTANT: Millis = Millis::new(4_000);
 /// Weight of the mean of the service, in reports, in the usual load of a target.
-const PRIOR_REPORTS: f64 = 1.0;
+const PRIOR_REPORTS: f64 = 2.0;
 
 /// Requests that run and wait at a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -93,7 +93,12 @@
         lasts: Millis,
         now: Millis,
     ) -> ExpectedLoad {
-        let usual = self.usual.get(similar, now);
+        // A queue says nothing of the load some seconds later. A target that is avoided for it sends no
+        // reports, so that it would be avoided for long.
+        let usual = ExpectedLoad {
+            waiting: similar.waiting,
+            ..self.usual.get(similar, now)
+        };
         let own = f64::from(self.sent_since.min(in_flight));
         let Some((running, waiting, at)) = self.report else {
             return ExpectedLoad {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -27,7 +27,7 @@
     member::{Record, TargetIncarnation, TargetState},
     port::StatedLimit,
     service::{ClassViews, PaceClass, ServiceProfile},
-    speed::{Pace, PaceEstimate, Speed, SpeedEstimate},
+    speed::{Pace, PaceEstimate, Speed},
     timely::{self, Engine, Pauses, Workload},
 };
 
@@ -175,7 +175,6 @@
     limit: Option<TargetLimit>,
     /// When the target last answered without a limit.
     unlimited_at: Millis,
-    speed: SpeedEstimate,
     /// Time that the target takes for what this entry has sent it, in ms.
     recent_ms: DecayingSum,
     /// `None` until the target reports its pace.
@@ -209,7 +208,6 @@
             load: None,
             limit: None,
             unlimited_at: Millis::ZERO,
-            speed: SpeedEstimate::default(),
             recent_ms: DecayingSum::default(),
             pace: None,
             expected_load: LoadEstimate::default(),
@@ -305,7 +303,7 @@
             load,
             slots: self.record.slots,
             prefill_fraction: class.prefill_fraction(load),
-            speed: self.speed.get(view.typical, now),
+            speed: view.typical,
             pace,
             memory_fraction: view
                 .memory
@@ -890,8 +888,6 @@
             let pace = target.pace.map_or(usual, |pace| pace.get(now).expected());
             let took_ms = prefill.took.get() as f64 / pace;
             let tokens = prefill.ahead + prefill.uncached;
-            let typical = profile.speed.get(assumed, now);
-            target.speed.record(tokens, took_ms, typical, now);
             profile.speed.record(tokens, took_ms, assumed, now);
         }
     }
