A pause that a target states twice or with an exponent is not cut short

Cause: two Retry-After headers and values with an exponent counted as unreadable, hence as 1 s, although the target named a longer time in which it wants at most two requests.

--- a/crates/signal/src/stated.rs
+++ b/crates/signal/src/stated.rs
@@ -35,28 +35,32 @@
     Replaced(T),
 }
 
-/// Reads a pause from all its values in an answer: one decimal number of seconds without sign or
-/// exponent. Several values, dates and anything else are replaced by [`UNREADABLE_PAUSE`], and numbers
-/// above [`MAX_PAUSE`] by that.
+/// Reads a pause from all its values in an answer: one non-negative number of seconds. Of several
+/// values the longest counts; anything else, such as a date, is replaced by [`UNREADABLE_PAUSE`], and
+/// numbers above [`MAX_PAUSE`] by that.
 pub fn pause<'a>(values: impl IntoIterator<Item = &'a [u8]>) -> Reading<Millis> {
-    let mut values = values.into_iter();
-    let Some(value) = values.next() else {
-        return Reading::Absent;
-    };
-    let is_repeated = values.next().is_some();
-    match seconds(value).filter(|_| !is_repeated) {
-        None => Reading::Replaced(UNREADABLE_PAUSE),
-        Some(seconds) if seconds * 1_000.0 > MAX_PAUSE.get() as f64 => Reading::Replaced(MAX_PAUSE),
-        Some(seconds) => Reading::Exact(Millis::new((seconds * 1_000.0).ceil() as u64)),
+    let values: Vec<Option<f64>> = values.into_iter().map(seconds).collect();
+    let longest = values.iter().flatten().copied().reduce(f64::max);
+    let max_seconds = MAX_PAUSE.get() as f64 / 1_000.0;
+    match (longest, values.len()) {
+        (_, 0) => Reading::Absent,
+        (None, _) => Reading::Replaced(UNREADABLE_PAUSE),
+        (Some(seconds), _) if seconds > max_seconds => Reading::Replaced(MAX_PAUSE),
+        (Some(seconds), 1) => Reading::Exact(millis(seconds)),
+        (Some(seconds), _) => Reading::Replaced(millis(seconds)),
     }
 }
 
+fn millis(seconds: f64) -> Millis {
+    Millis::new((seconds * 1_000.0).ceil() as u64)
+}
+
 fn seconds(value: &[u8]) -> Option<f64> {
     let text = std::str::from_utf8(value).ok()?.trim();
-    let is_decimal = text
-        .bytes()
-        .all(|byte| byte.is_ascii_digit() || byte == b'.');
-    text.parse().ok().filter(|_| is_decimal)
+    // The names of non-finite numbers are no numbers of seconds.
+    let is_number = text.starts_with(|first: char| first.is_ascii_digit() || first == '.');
+    let seconds = text.parse::<f64>().ok().filter(|_| is_number)?;
+    (seconds >= 0.0).then_some(seconds)
 }
 
 /// Reads from all values in an answer whether the target leaves: `1` if it does. A target that says
