store: one object that cannot be read hides no other

Cause: lists, watches, heartbeat groups and relay responses were decoded as a whole, so that one value that the decoder rejects (a lone surrogate, 1e400, deep nesting, bytes that are not UTF-8) was an error of the whole read. One unreadable prepaid record kept all other accounts from drawing.

Change: crate cyc-items splits documents by quotes, brackets and commas; objects are decoded one by one. An unreadable prepaid record is tried again after 2 s and does not count as an outage.

--- a/crates/gateway/src/control/prepaid.rs
+++ b/crates/gateway/src/control/prepaid.rs
@@ -1,7 +1,8 @@
 //! Maintains the prepaid tokens of this entry by reading and writing the shared records.
 
-use std::rc::Rc;
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
+use cadence::CountedExt as _;
 use cyc_types::{ClientAccountId, Millis};
 use futures::{StreamExt as _, stream};
 use tokio::time::{Instant, sleep, timeout};
@@ -22,15 +23,42 @@
 /// Attempts to return tokens at shutdown: writes of other entries to the same records conflict.
 const MAX_RETURN_ATTEMPTS: u32 = 8;
 
+/// A record that could not be decoded is not read again for this long. Someone has to mend it, and
+/// each call is billed.
+const UNREADABLE_BACKOFF: Millis = Millis::new(2_000);
+
+/// Accounts whose records cannot be decoded, and when they are tried again. They must not keep the
+/// other accounts waiting, as an unreachable store does.
+#[derive(Debug, Default)]
+struct UnreadableRecords(RefCell<BTreeMap<ClientAccountId, Millis>>);
+
+impl UnreadableRecords {
+    fn record(&self, account: &ClientAccountId, error: &StoreError, now: Millis) {
+        spdlog::error!("prepaid_record_unreadable", kv: {
+            account = account.as_str(),
+            error = error.to_string(),
+        });
+        let retry_at = now + UNREADABLE_BACKOFF;
+        self.0.borrow_mut().insert(account.clone(), retry_at);
+    }
+
+    fn is_due(&self, account: &ClientAccountId, now: Millis) -> bool {
+        let mut retry_at = self.0.borrow_mut();
+        retry_at.retain(|_, at| *at > now);
+        !retry_at.contains_key(account)
+    }
+}
+
 /// Draws and returns tokens until shutdown.
 pub async fn run_prepaid<P: Protocol, S: Store>(state: Rc<State<P>>, store: Rc<S>) {
     let mut retry_delay = RetryDelay::default();
+    let unreadable = UnreadableRecords::default();
     loop {
         if state.is_stopping() && state.in_flight.get() == 0 {
             // The shutdown returns the remaining tokens; a draw must not run concurrently with it.
             return;
         }
-        let result = run_round(&state, &*store).await;
+        let result = run_round(&state, &*store, &unreadable).await;
         match result {
             Ok(Round::Idle) => {}
             Ok(Round::Done | Round::Conflicts) => {
@@ -84,17 +112,19 @@
 async fn run_round<P: Protocol, S: Store>(
     state: &State<P>,
     store: &S,
+    unreadable: &UnreadableRecords,
 ) -> Result<Round, StoreError> {
     let role = |account: &ClientAccountId| state.role(account);
     let now = state.now();
     let mut due = state.allocations.borrow().due(role, now);
+    due.retain(|account| unreadable.is_due(account, now));
     if due.is_empty() {
         return Ok(Round::Idle);
     }
     if state.prepaid_failures.get() > 0 {
         due.truncate(1);
     }
-    Ok(match sync_records(state, store, &due).await? {
+    Ok(match sync_records(state, store, &due, unreadable).await? {
         true => Round::Done,
         false => Round::Conflicts,
     })
@@ -106,10 +136,21 @@
     state: &State<P>,
     store: &S,
     accounts: &[ClientAccountId],
+    unreadable: &UnreadableRecords,
 ) -> Result<bool, StoreError> {
-    let steps = accounts
-        .iter()
-        .map(|account| sync_record(state, store, account));
+    let steps =
+        accounts.iter().map(
+            async |account| match sync_record(state, store, account).await {
+                Err(error @ StoreError::Malformed(_)) => {
+                    unreadable.record(account, &error, state.now());
+                    let metric = format!("{}prepaid", cyc_obs::names::OBJECTS_UNREADABLE);
+                    state.metrics.incr(&metric).ok();
+                    state.allocations_changed.notify_waiters();
+                    Ok(true)
+                }
+                other => other,
+            },
+        );
     let done: Vec<Result<bool, StoreError>> = stream::iter(steps)
         .buffer_unordered(MAX_CONCURRENT_RECORDS)
         .collect()
@@ -166,12 +207,14 @@
 pub async fn return_prepaid<P: Protocol, S: Store>(state: &State<P>, store: &S) -> bool {
     state.allocations.borrow_mut().close();
     super::return_surplus(state).await;
+    let unreadable = UnreadableRecords::default();
     for _ in 0..MAX_RETURN_ATTEMPTS {
-        let accounts = state.allocations.borrow().unreturned();
+        let mut accounts = state.allocations.borrow().unreturned();
+        accounts.retain(|account| unreadable.is_due(account, state.now()));
         if accounts.is_empty() {
-            return true;
+            break;
         }
-        if let Err(error) = sync_records(state, store, &accounts).await {
+        if let Err(error) = sync_records(state, store, &accounts, &unreadable).await {
             spdlog::warn!("prepaid_return_failed", kv: {
                 error = error.to_string(),
             });
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use cadence::CountedExt as _;
 use cyc_types::{Millis, TargetId, Version};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -81,6 +82,13 @@
     is_list: bool,
 ) -> Vec<(TargetId, Outcome)> {
     let now = state.now();
+    let unreadable = changes
+        .iter()
+        .filter(|change| matches!(change, Change::Unreadable(_)));
+    for _ in unreadable {
+        let metric = format!("{}targets", cyc_obs::names::OBJECTS_UNREADABLE);
+        state.metrics.incr(&metric).ok();
+    }
     let mut targets = state.targets.borrow_mut();
     if is_list {
         return targets.replace(changes, now);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
+use cyc_items::Raw;
 use cyc_types::{ClientAccountId, Millis, VmId, hash};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -23,6 +24,8 @@
 /// Delay until a new entry reads the heartbeats again. Other entries may start at the same time, so
 /// it owns no accounts before that.
 pub const STARTUP_DELAY: Millis = Millis::new(600);
+/// Name of [`Heartbeat::crashes`] in a message.
+const CRASHES_FIELD: &str = "crashes";
 /// Entries that may draw for an account: its owner, followed by the acting owners in order.
 const MAX_OWNER_CANDIDATES: usize = 3;
 
@@ -48,6 +51,32 @@
     pub crashes: Vec<CrashReport>,
 }
 
+impl Heartbeat {
+    /// Decodes a heartbeat. Crashes that cannot be decoded are logged and left out.
+    ///
+    /// # Errors
+    /// Why the heartbeat cannot be decoded.
+    pub fn decode(raw: Raw<'_>) -> Result<Self, serde_json::Error> {
+        let error = match raw.decode() {
+            Ok(heartbeat) => return Ok(heartbeat),
+            Err(error) => error,
+        };
+        let Ok(rest) = raw.without(CRASHES_FIELD) else {
+            return Err(error);
+        };
+        let mut heartbeat: Self = Raw::new(&rest).decode()?;
+        spdlog::warn!("heartbeat_crashes_unreadable", kv: {
+            entry = heartbeat.vm.as_str(),
+            error = error.to_string(),
+        });
+        let crashes = raw.get(CRASHES_FIELD).map(Raw::elements);
+        let crashes = crashes.and_then(Result::ok).unwrap_or_default();
+        let crashes = crashes.into_iter().filter_map(|crash| crash.decode().ok());
+        heartbeat.crashes = crashes.collect();
+        Ok(heartbeat)
+    }
+}
+
 /// The last heartbeat read of another entry.
 #[derive(Debug, Clone)]
 struct KnownPeer {
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -41,5 +41,7 @@
 pub const RELAY_CALLS: &str = "relay_calls.";
 /// Counter: targets that ended under requests of this process.
 pub const TARGETS_CRASHED: &str = "targets_crashed";
+/// Counter by kind: objects of the store that could not be read, each time that they were.
+pub const OBJECTS_UNREADABLE: &str = "store_objects_unreadable.";
 /// Counter: requests that were not sent to a target because of the limit that it names.
 pub const LIMIT_DENIALS: &str = "limit_denials";
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -16,7 +16,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use tokio::time::timeout;
 
-use crate::message::{CALL_PATH, Call, MAX_MESSAGE_BYTES, Reply, Response};
+use crate::message::{CALL_PATH, Call, MAX_MESSAGE_BYTES, Reply, Response, decode_response};
 
 /// Timeout of a call, in addition to the wait of a watch: the relay's own call to the store, and a
 /// round trip to the relay.
@@ -79,7 +79,7 @@
             return Err(unsent(&head.status));
         }
         self.pool.put_idle(conn, None);
-        let decoded = serde_json::from_slice::<Response>(&body);
+        let decoded = decode_response(&body);
         decoded.map_err(|error| StoreError::Malformed(relay_error(&error)))?
     }
 }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -8,6 +8,7 @@
     port::{Freshness, StoreError, Written},
     prepaid::{Record, RecordWrite},
 };
+use cyc_items::Raw;
 use cyc_types::{ClientAccountId, Millis, Version};
 use serde::{Deserialize, Serialize};
 
@@ -68,3 +69,58 @@
 pub const CALL_PATH: &str = "/store-call";
 /// Maximum size of a message, which contains a whole configuration or list of targets.
 pub const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Decodes what a relay responds. In a list, a part that cannot be decoded is logged and hides no
+/// other one: a relay may run another version than its entries.
+///
+/// # Errors
+/// Why the response cannot be decoded.
+pub fn decode_response(body: &[u8]) -> Result<Response, serde_json::Error> {
+    let raw = Raw::new(body);
+    let error = match raw.decode() {
+        Ok(response) => return Ok(response),
+        Err(error) => error,
+    };
+    decode_list(raw).map(Ok).ok_or(error)
+}
+
+/// Decodes a list whose parts cannot all be decoded; `None` if the response is none.
+fn decode_list(response: Raw<'_>) -> Option<Reply> {
+    let reply = response.get("Ok")?;
+    if let Some(heartbeats) = reply.get("heartbeats") {
+        let heartbeats = heartbeats.elements().ok()?;
+        let decoded = heartbeats.into_iter().filter_map(|heartbeat| {
+            let decoded = Heartbeat::decode(heartbeat);
+            decoded
+                .inspect_err(|error| log_unreadable("heartbeat", error))
+                .ok()
+        });
+        return Some(Reply::Heartbeats(decoded.collect()));
+    }
+    let targets = reply.get("targets")?.elements().ok()?;
+    let [changes, version] = targets.as_slice() else {
+        return None;
+    };
+    let changes = changes.elements().ok()?;
+    let changes = changes.into_iter().filter_map(decode_change);
+    Some(Reply::Targets(changes.collect(), version.decode().ok()?))
+}
+
+fn decode_change(raw: Raw<'_>) -> Option<Change> {
+    let error = match raw.decode() {
+        Ok(change) => return Some(change),
+        Err(error) => error,
+    };
+    log_unreadable("target", &error);
+    let fields = raw.fields().ok()?;
+    let (_, content) = fields.first()?;
+    let id = content.get("id").unwrap_or(*content);
+    id.decode().ok().map(Change::Unreadable)
+}
+
+fn log_unreadable(part: &str, error: &serde_json::Error) {
+    spdlog::warn!("relay_response_unreadable", kv: {
+        part = part,
+        error = error.to_string(),
+    });
+}
--- a/crates/relay/tests/relay/calls.rs
+++ b/crates/relay/tests/relay/calls.rs
@@ -10,7 +10,12 @@
     prepaid::{Record, RecordWrite},
 };
 use cyc_obs::Metrics;
-use cyc_relay::{client::RelayClient, paths::StorePaths, serve_entries};
+use cyc_relay::{
+    client::RelayClient,
+    message::{Reply, decode_response},
+    paths::StorePaths,
+    serve_entries,
+};
 use cyc_types::{ByteSize, ClientAccountId, Millis, Revision, Tokens, Version, VmId};
 use tokio::{
     net::TcpListener,
@@ -347,3 +352,50 @@
     })
     .await;
 }
+
+/// A part of a list that an entry cannot decode, for example from a relay of another version, hides
+/// no other part.
+#[test]
+fn a_part_of_a_response_that_cannot_be_decoded_hides_no_other() {
+    let heartbeat = |vm: &str| Peers::new(vm.parse().unwrap(), 1).next_heartbeat();
+    let good = serde_json::to_string(&heartbeat("vm-1")).unwrap();
+    for bad in [r#"{"vm":"\udcff"}"#, "1e400", r#"{"vm":"vm-2","beat":-1}"#] {
+        let body = format!(r#"{{"Ok":{{"heartbeats":[{bad},{good}]}}}}"#);
+        let Ok(Ok(Reply::Heartbeats(read))) = decode_response(body.as_bytes()) else {
+            panic!("{bad}");
+        };
+        assert_eq!(read.len(), 1, "{bad}");
+    }
+    let gone = r#"{"removed":"i-1"}"#;
+    let cases: [(&[u8], &[&str]); 4] = [
+        (
+            br#"{"updated":{"id":"i-2","addr":"\udcff"}}"#,
+            &["i-2", "i-1"],
+        ),
+        (
+            b"{\"moved\":{\"id\":\"i-2\",\"to\":\"\xff\"}}",
+            &["i-2", "i-1"],
+        ),
+        (br#"{"revoked":"i-2"}"#, &["i-2", "i-1"]),
+        (b"1e400", &["i-1"]),
+    ];
+    for (bad, expected) in cases {
+        let body = [
+            br#"{"Ok":{"targets":[["#,
+            bad,
+            b",",
+            gone.as_bytes(),
+            b"],7]}}",
+        ]
+        .concat();
+        let Ok(Ok(Reply::Targets(changes, version))) = decode_response(&body) else {
+            panic!("{bad:?}");
+        };
+        let ids: Vec<&str> = changes.iter().map(|change| change.id().as_str()).collect();
+        assert_eq!(ids, expected, "{bad:?}");
+        let is_usable = |change: &Change| matches!(change, Change::Updated(_));
+        assert!(!changes.iter().any(is_usable), "{bad:?}");
+        assert_eq!(version, Version::new(7));
+    }
+    assert!(decode_response(b"{\"Ok\":1}").is_err());
+}
