--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -36,6 +36,8 @@
 pub struct RetryDelay {
     backoff: Backoff,
     failures: u32,
+    /// Delays of lists that replace a watch.
+    relists: Backoff,
 }
 
 impl Default for RetryDelay {
@@ -43,6 +45,7 @@
         Self {
             backoff: Backoff::new(RETRY_DELAY_MIN, RETRY_DELAY_MAX),
             failures: 0,
+            relists: Backoff::new(RETRY_DELAY_MIN, RETRY_DELAY_MAX),
         }
     }
 }
@@ -54,6 +57,19 @@
         std::mem::take(&mut self.failures)
     }
 
+    /// Counts a watch whose changes are gone or too large, and returns the delay before the list that
+    /// replaces it. The delay grows until a watch succeeds, so that changes that are always too large
+    /// cause no busy loop.
+    pub fn next_relist_delay(&mut self) -> Millis {
+        self.failures += 1;
+        self.relists.next_delay()
+    }
+
+    /// Records that a watch succeeded.
+    pub fn watch_succeeded(&mut self) {
+        self.relists.reset();
+    }
+
     /// Counts a failure and returns the delay before the next call.
     pub fn next_delay(&mut self) -> Millis {
         self.failures += 1;
--- a/crates/gateway/src/control/config.rs
+++ b/crates/gateway/src/control/config.rs
@@ -27,6 +27,9 @@
                 if failures > 0 {
                     spdlog::info!("config_watch_recovered", kv: { failures = failures });
                 }
+                if since.is_some() {
+                    retry_delay.watch_succeeded();
+                }
                 let is_missing = config.is_none() && since.is_none();
                 since = Some(version);
                 match config {
@@ -47,7 +50,10 @@
 }
 
 fn log_failure(retry_delay: &mut RetryDelay, error: &StoreError) -> Millis {
-    let wait = retry_delay.next_delay();
+    let wait = match error {
+        StoreError::HistoryUnavailable => retry_delay.next_relist_delay(),
+        _ => retry_delay.next_delay(),
+    };
     spdlog::warn!("config_read_failed", kv: {
         error = error.to_string(),
         retry_in_ms = wait.get(),
--- a/crates/gateway/src/control/prepaid.rs
+++ b/crates/gateway/src/control/prepaid.rs
@@ -62,7 +62,7 @@
         match result {
             Ok(Round::Idle) => {}
             Ok(Round::Done | Round::Conflicts) => {
-                state.store_health.borrow_mut().record_success();
+                state.store_health.borrow_mut().record_success(state.now());
                 let failures = retry_delay.reset();
                 state.prepaid_failures.set(0);
                 if failures > 0 {
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -23,58 +23,88 @@
 pub async fn watch_targets<P: Protocol, S: Store>(state: Rc<State<P>>, store: Rc<S>) {
     let mut retry_delay = RetryDelay::default();
     let mut since: Option<Version> = None;
+    // When the last failed call was sent.
+    let mut failed_from: Option<Millis> = None;
     loop {
         let from = since;
+        let sent_at = state.now();
+        // After a failure, the return of the store should be seen without waiting for a change.
+        let wait = match failed_from {
+            None => WATCH_WAIT,
+            Some(_) => Millis::ZERO,
+        };
         let read = async {
             match from {
                 None => store.targets().await,
-                Some(from) => store.next_targets(from, WATCH_WAIT).await,
-            }
-        };
-        tokio::pin!(read);
-        let read = loop {
-            let due = state.targets.borrow().next_expiry();
-            let wait = due.map(|due| due.saturating_sub(state.now()));
-            let expiry = Instant::now() + wait.unwrap_or(WATCH_WAIT + WATCH_WAIT).duration();
-            tokio::select! {
-                read = &mut read => break read,
-                () = sleep_until(expiry) => expire(&state),
+                Some(from) => store.next_targets(from, wait).await,
             }
         };
+        let read = while_expiring(&state, read).await;
         match state.record_store_call(read) {
             Ok((changes, version)) => {
                 let failures = retry_delay.reset();
                 if failures > 0 {
                     spdlog::info!("target_watch_recovered", kv: { failures = failures });
                 }
-                if failures >= OUTAGE_FAILURES {
-                    state.targets.borrow_mut().store_returned(state.now());
+                if let Some(failed_from) = failed_from.take()
+                    && failures >= OUTAGE_FAILURES
+                {
+                    store_returned(&state, failed_from);
                 }
                 let is_list = since.is_none();
+                if !is_list {
+                    retry_delay.watch_succeeded();
+                }
                 let has_changes = !changes.is_empty();
                 since = Some(version);
                 let outcomes = apply_changes(&state, changes, is_list);
                 log_and_refresh(&state, &outcomes, version);
                 state.targets_loaded.set(true);
                 if has_changes {
-                    sleep(COALESCE_WINDOW.duration()).await;
+                    while_expiring(&state, sleep(COALESCE_WINDOW.duration())).await;
                 }
             }
             Err(error) => {
-                if error == StoreError::HistoryUnavailable {
+                let wait = if error == StoreError::HistoryUnavailable {
                     since = None;
-                }
-                let wait = retry_delay.next_delay();
+                    retry_delay.next_relist_delay()
+                } else {
+                    failed_from = Some(sent_at);
+                    retry_delay.next_delay()
+                };
                 spdlog::warn!("targets_read_failed", kv: {
                     error = error.to_string(),
                     retry_in_ms = wait.get(),
                 });
-                sleep(wait.duration()).await;
+                while_expiring(&state, sleep(wait.duration())).await;
             }
         }
     }
 }
 
+/// Records the end of an outage: the first success of any call since the last failed one was sent.
+fn store_returned<P>(state: &State<P>, failed_from: Millis) {
+    let now = state.now();
+    let first = state.store_health.borrow().first_success_after(failed_from);
+    let returned_at = first.unwrap_or(now);
+    spdlog::info!("store_returned", kv: { seen_before_ms = now.saturating_sub(returned_at).get() });
+    state.targets.borrow_mut().store_returned(returned_at);
+}
+
+/// Awaits `future`, and meanwhile applies delayed removals when they are due.
+async fn while_expiring<P, T>(state: &State<P>, future: impl Future<Output = T>) -> T {
+    tokio::pin!(future);
+    loop {
+        let due = state.targets.borrow().next_expiry();
+        let wait = due.map(|due| due.saturating_sub(state.now()));
+        let expiry = Instant::now() + wait.unwrap_or(WATCH_WAIT + WATCH_WAIT).duration();
+        tokio::select! {
+            done = &mut future => return done,
+            () = sleep_until(expiry) => expire(state),
+        }
+    }
+}
+
 /// Applies the whole list, or changes of it.
 fn apply_changes<P>(
     state: &State<P>,
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -1,8 +1,8 @@
 //! The list of registered targets, built from the store's list and its changes.
 //!
 //! A target that disappears during an outage of the store may only have been unable to renew its
-//! registration. Such removals are delayed by [`LAPSE_HOLD`], and cancelled if the registration
-//! returns.
+//! registration. Such removals are delayed until [`LAPSE_HOLD`] after the store's return, and
+//! cancelled if the registration returns.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -10,11 +10,11 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-/// Delay of removals after an outage of the store. Lapsed registrations return about 2 s after the
-/// store does; during the delay, requests may be sent to a target that has ended.
-pub const LAPSE_HOLD: Millis = Millis::new(1_900);
-/// Removals within this time after the store's return may be lapsed registrations.
-pub const LAPSE_WINDOW: Millis = Millis::new(2_500);
+/// Time after the store's return, as this entry sees it, at which delayed removals take effect.
+/// Lapsed registrations return about 2 s after the store does and are read up to 0.3 s later; what is
+/// missing then has ended. The return is usually seen within 0.65 s, so that the hold ends within 3 s
+/// of it, from which on removals have to take effect 2 s after the store has acknowledged them.
+pub const LAPSE_HOLD: Millis = Millis::new(2_300);
 
 /// Whether a target accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
@@ -100,8 +100,8 @@
     Leaving,
     /// The target was removed.
     Gone,
-    /// The registration may have lapsed during an outage of the store; the target is kept for
-    /// [`LAPSE_HOLD`].
+    /// The registration may have lapsed during an outage of the store; the target is kept until
+    /// [`LAPSE_HOLD`] after the store's return.
     Held,
     /// The list is unchanged.
     Same,
@@ -128,9 +128,9 @@
         self.records.values()
     }
 
-    /// Records the end of an outage of the store.
-    pub fn store_returned(&mut self, now: Millis) {
-        self.store_returned_at = Some(now);
+    /// Records the end of an outage of the store at the given time.
+    pub fn store_returned(&mut self, at: Millis) {
+        self.store_returned_at = Some(at);
     }
 
     /// Applies one change.
@@ -139,17 +139,19 @@
             Change::Updated(record) => self.update(record),
             Change::Unreadable(id) => self.remove(&id),
             Change::Removed(id) => {
-                if !self.records.contains_key(&id) {
+                let Some(record) = self.records.get(&id) else {
                     return Outcome::Same;
+                };
+                let held_until = self.store_returned_at.map(|at| at + LAPSE_HOLD);
+                let held_until = held_until.filter(|until| now < *until);
+                match held_until {
+                    // A target that drains was going to end.
+                    Some(until) if record.state == TargetState::Ready => {
+                        self.delayed_removals.entry(id).or_insert(until);
+                        Outcome::Held
+                    }
+                    _ => self.remove(&id),
                 }
-                let may_be_lapse = self
-                    .store_returned_at
-                    .is_some_and(|at| now.saturating_sub(at) <= LAPSE_WINDOW);
-                if may_be_lapse {
-                    self.delayed_removals.entry(id).or_insert(now + LAPSE_HOLD);
-                    return Outcome::Held;
-                }
-                self.remove(&id)
             }
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -179,7 +179,7 @@
     pub fn record_store_call<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
         let mut health = self.store_health.borrow_mut();
         match &result {
-            Ok(_) | Err(StoreError::HistoryUnavailable) => health.record_success(),
+            Ok(_) | Err(StoreError::HistoryUnavailable) => health.record_success(self.now()),
             Err(_) => health.record_failure(self.now()),
         }
         drop(health);
--- a/crates/gateway/tests/gateway/member.rs
+++ b/crates/gateway/tests/gateway/member.rs
@@ -1,9 +1,7 @@
 //! The list of targets: registrations, draining, registrations that lapse during an outage of the
 //! store, and undecodable ones.
 
-use cyc_gateway::member::{
-    Change, LAPSE_HOLD, LAPSE_WINDOW, Outcome, Record, TargetList, TargetState,
-};
+use cyc_gateway::member::{Change, LAPSE_HOLD, Outcome, Record, TargetList, TargetState};
 use cyc_types::{Millis, TargetId};
 use googletest::prelude::*;
 
@@ -66,7 +64,7 @@
     let mut targets = TargetList::new();
     targets.apply(ready("i-1"), Millis::ZERO);
     targets.store_returned(Millis::ZERO);
-    let later = LAPSE_WINDOW + Millis::new(1);
+    let later = LAPSE_HOLD + Millis::new(1);
     expect_that!(
         targets.apply(Change::Removed(id("i-1")), later),
         eq(Outcome::Gone)
@@ -109,3 +107,70 @@
     targets.replace(vec![ready("i-2")], Millis::new(10));
     expect_that!(names(&targets), elements_are![eq(&"i-2")]);
 }
+
+/// Removals were held for 1.9 s from when they were read, up to 2.5 s after the store's return. One
+/// that the store acknowledged 2 s after its return was used for longer than `drainMs`, 2 s, after
+/// that. From `contactMs`, 3 s, after the return on, that is too long.
+#[gtest]
+fn a_removal_after_an_outage_is_used_no_longer_than_allowed() {
+    const DRAIN: u64 = 2_000;
+    const CONTACT: u64 = 3_000;
+    // Retry delay and a slow response.
+    const SEEN_LATE: u64 = 650;
+    // Coalescing at the entry and at a relay, and a slow response.
+    const READ_LATE: u64 = 500;
+    let returned_at = 50_000;
+    for seen_late in [0, 300, SEEN_LATE] {
+        for acknowledged in (0..4_000).step_by(50) {
+            for read_late in [0, 250, READ_LATE] {
+                let mut targets = TargetList::new();
+                targets.apply(ready("i-1"), Millis::ZERO);
+                let seen_at = returned_at + seen_late;
+                targets.store_returned(Millis::new(seen_at));
+                let acknowledged_at = returned_at + acknowledged;
+                let read_at = (acknowledged_at + read_late).max(seen_at);
+                let outcome = targets.apply(Change::Removed(id("i-1")), Millis::new(read_at));
+                let used_until = match outcome {
+                    Outcome::Held => targets.next_expiry().unwrap().get(),
+                    _ => read_at,
+                };
+                let allowed_until = (acknowledged_at + DRAIN).max(returned_at + CONTACT);
+                assert_that!(
+                    used_until,
+                    le(allowed_until),
+                    "{seen_late} {acknowledged} {read_late}"
+                );
+            }
+        }
+    }
+}
+
+/// A list that is read again, because the changes are gone, must not hold removals for longer.
+#[gtest]
+fn a_second_reading_does_not_extend_the_hold() {
+    let returned_at = Millis::new(50_000);
+    let mut targets = TargetList::new();
+    targets.apply(ready("i-1"), Millis::ZERO);
+    targets.store_returned(returned_at);
+    for after in [0, 900, 2_200] {
+        targets.replace(Vec::new(), returned_at + Millis::new(after));
+        expect_that!(targets.next_expiry(), some(eq(returned_at + LAPSE_HOLD)));
+    }
+    targets.replace(Vec::new(), returned_at + LAPSE_HOLD);
+    expect_that!(names(&targets), is_empty());
+    expect_that!(targets.next_expiry(), none());
+}
+
+/// A target that drains and deregisters after the store's return has not lapsed.
+#[gtest]
+fn the_removal_of_a_draining_target_is_not_held() {
+    let mut targets = TargetList::new();
+    targets.apply(ready("i-1"), Millis::ZERO);
+    targets.store_returned(Millis::new(50_000));
+    let draining = record("i-1", 1, TargetState::Draining);
+    targets.apply(Change::Updated(draining), Millis::new(50_100));
+    expect_that!(
+        targets.apply(Change::Removed(id("i-1")), Millis::new(50_200)),
+        eq(Outcome::Gone)
+    );
+}
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -254,6 +254,8 @@
 /// Keeps the newest configuration while entries ask for it; never returns.
 async fn run_config_feed<S: Store>(relay: Rc<Relay<S>>) {
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    // Grows until a watch succeeds, so that changes that are always too many cause no busy loop.
+    let mut relists = Backoff::new(RETRY_MIN, RETRY_MAX);
     loop {
         if !relay.config_demand.is_recent(relay.now()) {
             relay.config.borrow_mut().clear();
@@ -269,11 +271,17 @@
         match read {
             Ok((config, as_of)) => {
                 backoff.reset();
+                if since.is_some() {
+                    relists.reset();
+                }
                 let now = relay.now();
                 relay.config.borrow_mut().record(config, as_of, now);
                 relay.feeds_changed.notify_waiters();
             }
-            Err(StoreError::HistoryUnavailable) => relay.config.borrow_mut().clear(),
+            Err(error @ StoreError::HistoryUnavailable) => {
+                relay.config.borrow_mut().clear();
+                pause(&mut relists, "config", &error).await;
+            }
             Err(error) => pause(&mut backoff, "config", &error).await,
         }
     }
@@ -282,6 +290,8 @@
 /// Keeps the list of targets while entries ask for it; never returns.
 async fn run_target_feed<S: Store>(relay: Rc<Relay<S>>) {
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    // Grows until a watch succeeds, so that changes that are always too many cause no busy loop.
+    let mut relists = Backoff::new(RETRY_MIN, RETRY_MAX);
     loop {
         if !relay.targets_demand.is_recent(relay.now()) {
             relay.targets.borrow_mut().clear();
@@ -297,6 +307,9 @@
         match read {
             Ok((changes, as_of)) => {
                 backoff.reset();
+                if since.is_some() {
+                    relists.reset();
+                }
                 let now = relay.now();
                 let has_changes = !changes.is_empty();
                 match since {
@@ -308,7 +321,10 @@
                     sleep(COALESCE_WINDOW.duration()).await;
                 }
             }
-            Err(StoreError::HistoryUnavailable) => relay.targets.borrow_mut().clear(),
+            Err(error @ StoreError::HistoryUnavailable) => {
+                relay.targets.borrow_mut().clear();
+                pause(&mut relists, "targets", &error).await;
+            }
             Err(error) => pause(&mut backoff, "targets", &error).await,
         }
     }
