--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -5,7 +5,11 @@
 use cyc_ledger::month::Month;
 use cyc_types::ClientAccountId;
 
-use crate::{burn::Window, experiment::Policies};
+use crate::{
+    burn::Window,
+    config_check::{ConfigAction, Format},
+    experiment::Policies,
+};
 
 xflags::xflags! {
     /// The operators' command of cyclamenlead.
@@ -14,6 +18,7 @@
     ///
     /// Examples:
     ///   cyclamen check etc/dala/entry.ini etc/dala/document.json
+    ///   cyclamen config check new.json --against in-force.json
     ///   cyclamen submit etc/dala/document.json --platform 10.20.9.1:9000 --expect 4
     ///   cyclamen submit etc/dala/document.json --platform 10.20.9.1:9000 --wait --key-file key.txt
     ///   cyclamen topup league 500000 --account league --id payment-17 --platform 10.20.9.1:9000
@@ -32,6 +37,21 @@
             repeated file: PathBuf
         }
 
+        /// `config check FILE` reports errors, entries that never match and limits that contradict
+        /// each other, before a rollout. Exit codes: 0 none, 1 findings, 2 unreadable.
+        cmd config {
+            /// `check`.
+            required action: ConfigAction
+            /// The configuration: a document of this project or of the users' platform.
+            required file: PathBuf
+            /// The configuration in force, to report what changes and who notices.
+            optional --against file: PathBuf
+            /// Settings of an entry on the users' platform, which have the retry budget.
+            optional --settings file: PathBuf
+            /// `text`, the default, or `json`.
+            optional --format format: Format
+        }
+
         /// Submits a document as the next revision.
         cmd submit {
             /// The document.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod burn;
 pub mod check;
+pub mod config_check;
 pub mod document;
 pub mod experiment;
 mod flags;
@@ -28,6 +29,22 @@
     };
     match flags.subcommand {
         CyclamenCmd::Check(check) => check::run(&check.file, flags.json),
+        CyclamenCmd::Config(config) => {
+            let format = config.format.unwrap_or(match flags.json {
+                true => config_check::Format::Json,
+                false => config_check::Format::Text,
+            });
+            match config.action {
+                config_check::ConfigAction::Check => {
+                    let options = config_check::Options {
+                        against: config.against.as_deref(),
+                        settings: config.settings.as_deref(),
+                        format,
+                    };
+                    config_check::run(&config.file, options)
+                }
+            }
+        }
         CyclamenCmd::Submit(submit) => document::submit(&submit, flags.json).await,
         CyclamenCmd::Show(show) => match input::parse_platform(&show.platform) {
             Ok(addr) => document::show(addr, flags.json).await,
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -1,5 +1,9 @@
 //! Tests of the command `cyclamen` against a simulated platform.
 
+#[path = "cli/config_check.rs"]
+mod config_check;
+#[path = "cli/config_fuzz.rs"]
+mod config_fuzz;
 #[path = "cli/experiment.rs"]
 mod experiment;
 #[path = "cli/reports.rs"]
