relay: a response read after a freeze does not make a feed fresh

Cause: a feed took the time at which a response was read for the time as of which it is news. A relay that was frozen told entries for up to 1.6 s more that nothing had changed.

Change: the response to a watch is news until 0.4 s after the end of its wait at most.

The new test calls a function that the previous code lacks; there the time of the reading was used as it is.

--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    feed::{ConfigFeed, TargetFeed},
+    feed::{ConfigFeed, TargetFeed, watch_heard_at},
     handle::handle_request,
     roster::Roster,
 };
@@ -264,6 +264,7 @@
         }
         let since: Option<Version> = relay.config.borrow().as_of();
         relay.count(cyc_obs::names::STORE_CALLS, "config");
+        let sent_at = relay.now();
         let read = match since {
             None => relay.store.configuration().await,
             Some(since) => relay.store.next_configuration(since, WATCH_WAIT).await,
@@ -271,10 +272,13 @@
         match read {
             Ok((config, as_of)) => {
                 backoff.reset();
-                if since.is_some() {
-                    relists.reset();
-                }
-                let now = relay.now();
+                let now = match since {
+                    None => relay.now(),
+                    Some(_) => {
+                        relists.reset();
+                        watch_heard_at(sent_at, WATCH_WAIT, relay.now())
+                    }
+                };
                 relay.config.borrow_mut().record(config, as_of, now);
                 relay.feeds_changed.notify_waiters();
             }
@@ -300,6 +304,7 @@
         }
         let since: Option<Version> = relay.targets.borrow().as_of();
         relay.count(cyc_obs::names::STORE_CALLS, "targets");
+        let sent_at = relay.now();
         let read = match since {
             None => relay.store.targets().await,
             Some(since) => relay.store.next_targets(since, WATCH_WAIT).await,
@@ -307,10 +312,13 @@
         match read {
             Ok((changes, as_of)) => {
                 backoff.reset();
-                if since.is_some() {
-                    relists.reset();
-                }
-                let now = relay.now();
+                let now = match since {
+                    None => relay.now(),
+                    Some(_) => {
+                        relists.reset();
+                        watch_heard_at(sent_at, WATCH_WAIT, relay.now())
+                    }
+                };
                 let has_changes = !changes.is_empty();
                 match since {
                     None => relay.targets.borrow_mut().replace(changes, as_of, now),
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -12,6 +12,16 @@
 /// Maximum number of changes that are kept; an entry that lacks older ones reads the whole list.
 const MAX_CHANGES: usize = 4_096;
 
+/// Time from the end of a watch's wait until its response is read, unless this process was frozen.
+const RESPONSE_TIME: Millis = Millis::new(400);
+
+/// The time as of which the response to a watch is news, for a watch that was sent at `sent_at` with
+/// the given wait and whose response is read at `now`. After a freeze of this process the response
+/// may have lain unread for long, and must not make the feed look fresh.
+pub fn watch_heard_at(sent_at: Millis, wait: Millis, now: Millis) -> Millis {
+    now.min(sent_at + wait + RESPONSE_TIME)
+}
+
 /// When a feed last heard from the store, and up to which version it is complete.
 #[derive(Debug, Clone, Copy)]
 struct Progress {
--- a/crates/relay/tests/relay/feed.rs
+++ b/crates/relay/tests/relay/feed.rs
@@ -5,7 +5,7 @@
     member::{Change, Record, TargetState},
     port::StoreError,
 };
-use cyc_relay::feed::{ConfigFeed, STALE_AFTER, TargetFeed};
+use cyc_relay::feed::{ConfigFeed, STALE_AFTER, TargetFeed, watch_heard_at};
 use cyc_types::{ByteSize, Millis, Revision, TargetId, Version};
 use googletest::prelude::*;
 
@@ -143,3 +143,23 @@
         expect_that!(as_of, eq(version(since.max(14))), "since {since}");
     }
 }
+
+/// A relay that was frozen reads responses that have lain unread. It told entries for another 1.6 s
+/// that nothing had changed since.
+#[gtest]
+fn a_response_that_is_read_after_a_freeze_does_not_make_the_feed_fresh() {
+    let (sent_at, wait) = (Millis::new(50_000), Millis::new(1_000));
+    let in_time = Millis::new(51_200);
+    expect_that!(watch_heard_at(sent_at, wait, in_time), eq(in_time));
+    let thawed_at = Millis::new(60_000);
+    let mut feed = TargetFeed::default();
+    feed.replace(Vec::new(), version(1), sent_at);
+    let heard_at = watch_heard_at(sent_at, wait, thawed_at);
+    feed.extend(Vec::new(), version(1), heard_at);
+    expect_that!(
+        feed.since(version(1), thawed_at),
+        err(matches_pattern!(StoreError::Unreachable(_)))
+    );
+    feed.extend(Vec::new(), version(1), thawed_at);
+    expect_that!(feed.since(version(1), thawed_at), ok(anything()));
+}
