--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    feed::{ConfigFeed, EvacuationFeed, ListChange, ListFeed, TargetFeed},
+    feed::{ConfigFeed, EvacuationFeed, ListChange, ListFeed, TargetFeed, watch_heard_at},
     handle::handle_request,
     roster::Roster,
 };
@@ -260,6 +260,8 @@
 /// Keeps the newest configuration while entries ask for it; never returns.
 async fn run_config_feed<S: Store>(relay: Rc<Relay<S>>) {
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    // Grows until a watch succeeds, so that changes that are always too many cause no busy loop.
+    let mut relists = Backoff::new(RETRY_MIN, RETRY_MAX);
     loop {
         if !relay.config_demand.is_recent(relay.now()) {
             relay.config.borrow_mut().clear();
@@ -268,6 +270,7 @@
         }
         let since: Option<Version> = relay.config.borrow().as_of();
         relay.count(cyc_obs::names::STORE_CALLS, "config");
+        let sent_at = relay.now();
         let read = match since {
             None => relay.store.configuration().await,
             Some(since) => relay.store.next_configuration(since, WATCH_WAIT).await,
@@ -275,11 +278,20 @@
         match read {
             Ok((config, as_of)) => {
                 backoff.reset();
-                let now = relay.now();
+                let now = match since {
+                    None => relay.now(),
+                    Some(_) => {
+                        relists.reset();
+                        watch_heard_at(sent_at, WATCH_WAIT, relay.now())
+                    }
+                };
                 relay.config.borrow_mut().record(config, as_of, now);
                 relay.feeds_changed.notify_waiters();
             }
-            Err(StoreError::HistoryUnavailable) => relay.config.borrow_mut().clear(),
+            Err(error @ StoreError::HistoryUnavailable) => {
+                relay.config.borrow_mut().clear();
+                pause(&mut relists, "config", &error).await;
+            }
             Err(error) => pause(&mut backoff, "config", &error).await,
         }
     }
@@ -288,6 +300,8 @@
 /// Keeps the list of targets while entries ask for it; never returns.
 async fn run_target_feed<S: Store>(relay: Rc<Relay<S>>) {
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    // Grows until a watch succeeds, so that changes that are always too many cause no busy loop.
+    let mut relists = Backoff::new(RETRY_MIN, RETRY_MAX);
     loop {
         if !relay.targets_demand.is_recent(relay.now()) {
             relay.targets.borrow_mut().clear();
@@ -296,6 +310,7 @@
         }
         let since: Option<Version> = relay.targets.borrow().as_of();
         relay.count(cyc_obs::names::STORE_CALLS, "targets");
+        let sent_at = relay.now();
         let read = match since {
             None => relay.store.targets().await,
             Some(since) => relay.store.next_targets(since, WATCH_WAIT).await,
@@ -303,13 +318,23 @@
         match read {
             Ok((changes, as_of)) => {
                 backoff.reset();
+                let now = match since {
+                    None => relay.now(),
+                    Some(_) => {
+                        relists.reset();
+                        watch_heard_at(sent_at, WATCH_WAIT, relay.now())
+                    }
+                };
                 let has_changes = !changes.is_empty();
-                record_list(&relay, &relay.targets, since, changes, as_of);
+                record_list(&relay, &relay.targets, since, changes, as_of, now);
                 if has_changes {
                     sleep(COALESCE_WINDOW.duration()).await;
                 }
             }
-            Err(StoreError::HistoryUnavailable) => relay.targets.borrow_mut().clear(),
+            Err(error @ StoreError::HistoryUnavailable) => {
+                relay.targets.borrow_mut().clear();
+                pause(&mut relists, "targets", &error).await;
+            }
             Err(error) => pause(&mut backoff, "targets", &error).await,
         }
     }
@@ -318,6 +343,8 @@
 /// Keeps the requested evacuations while entries ask for them; never returns.
 async fn run_evacuation_feed<S: Store>(relay: Rc<Relay<S>>) {
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    // Grows until a watch succeeds, so that changes that are always too many cause no busy loop.
+    let mut relists = Backoff::new(RETRY_MIN, RETRY_MAX);
     loop {
         if !relay.evacuations_demand.is_recent(relay.now()) {
             relay.evacuations.borrow_mut().clear();
@@ -326,6 +353,7 @@
         }
         let since: Option<Version> = relay.evacuations.borrow().as_of();
         relay.count(cyc_obs::names::STORE_CALLS, "evacuations");
+        let sent_at = relay.now();
         let read = match since {
             None => relay.store.evacuations().await,
             Some(since) => relay.store.next_evacuations(since, WATCH_WAIT).await,
@@ -333,23 +361,33 @@
         match read {
             Ok((changes, as_of)) => {
                 backoff.reset();
-                record_list(&relay, &relay.evacuations, since, changes, as_of);
+                let now = match since {
+                    None => relay.now(),
+                    Some(_) => {
+                        relists.reset();
+                        watch_heard_at(sent_at, WATCH_WAIT, relay.now())
+                    }
+                };
+                record_list(&relay, &relay.evacuations, since, changes, as_of, now);
+            }
+            Err(error @ StoreError::HistoryUnavailable) => {
+                relay.evacuations.borrow_mut().clear();
+                pause(&mut relists, "evacuations", &error).await;
             }
-            Err(StoreError::HistoryUnavailable) => relay.evacuations.borrow_mut().clear(),
             Err(error) => pause(&mut backoff, "evacuations", &error).await,
         }
     }
 }
 
-/// Records a read of a whole list, or of its changes after `since`.
+/// Records a read of a whole list, or of its changes after `since`, which is news as of `now`.
 fn record_list<S, C: ListChange>(
     relay: &Relay<S>,
     feed: &RefCell<ListFeed<C>>,
     since: Option<Version>,
     changes: Vec<C>,
     as_of: Version,
+    now: Millis,
 ) {
-    let now = relay.clock.now();
     match since {
         None => feed.borrow_mut().replace(changes, as_of, now),
         Some(_) => feed.borrow_mut().extend(changes, as_of, now),
