gateway: exact outcome of prepaid writes after a long silence

Cause: an entry whose write got no response read the record and took the write as not applied if its holder was missing. Other entries remove holders that were silent for 30 s, so returned tokens were taken back and used twice, and drawn ones were lost.

Change: a record lists the last 16 holders that were counted as ended, with incarnation, last write and the tokens counted as lost, and an epoch that changes whenever the list may be incomplete. An entry that was only silent finds there whether its write was applied, and what was counted as lost is taken back. Without proof (records written by earlier versions) neither drawn nor returned tokens are used. Entries of earlier versions ignore the new field and drop it when they write.

--- a/crates/gateway/src/control/prepaid.rs
+++ b/crates/gateway/src/control/prepaid.rs
@@ -2,14 +2,15 @@
 
 use std::rc::Rc;
 
-use cyc_types::{ClientAccountId, Millis};
+use cadence::CountedExt as _;
+use cyc_types::{ClientAccountId, Millis, Version};
 use futures::{StreamExt as _, stream};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::RetryDelay;
 use crate::{
     port::{Protocol, Store, StoreError, Written},
-    prepaid::{RecordWrite, Role},
+    prepaid::{Record, RecordWrite, Role},
     state::State,
 };
 
@@ -132,8 +133,7 @@
         .must_read(account, role, state.now());
     if must_read {
         let (version, record) = store.prepaid_record(account).await?;
-        let mut allocations = state.allocations.borrow_mut();
-        allocations.observe(account, version, record, state.now());
+        observe(state, account, version, record);
     }
     let now = state.now();
     let write = state.allocations.borrow_mut().plan(account, role, now);
@@ -146,21 +146,41 @@
     let mut allocations = state.allocations.borrow_mut();
     match &written {
         Ok(Written::Done(version)) => allocations.written(account, *version, state.now()),
-        Ok(Written::Conflict(current)) => {
-            allocations.conflicted(account);
-            if let Some((version, record)) = current.clone() {
-                allocations.observe(account, Some(version), record, state.now());
-            }
-        }
+        Ok(Written::Conflict(_)) => allocations.conflicted(account),
         Err(StoreError::Refused(_) | StoreError::Unreachable(_)) => allocations.refused(account),
         Err(_) => allocations.unanswered(account),
     }
     drop(allocations);
+    if let Ok(Written::Conflict(Some((version, record)))) = &written {
+        observe(state, account, Some(*version), record.clone());
+    }
     log_write(state, role, &write, &written, sent_at);
     state.allocations_changed.notify_waiters();
     written.map(|written| matches!(written, Written::Done(_)))
 }
 
+/// Takes over a record that was read, and logs the outcome of a write whose response was lost.
+fn observe<P>(
+    state: &State<P>,
+    account: &ClientAccountId,
+    version: Option<Version>,
+    record: Record,
+) {
+    let now = state.now();
+    let mut allocations = state.allocations.borrow_mut();
+    let Some(outcome) = allocations.observe(account, version, record, now) else {
+        return;
+    };
+    drop(allocations);
+    spdlog::info!("prepaid_write_resolved", kv: {
+        account = account.as_str(),
+        version = version.map_or(0, |version| version.get()),
+        outcome = outcome.to_string(),
+    });
+    let name = format!("{}{outcome}", cyc_obs::names::PREPAID_WRITES_RESOLVED);
+    state.metrics.incr(&name).ok();
+}
+
 /// Returns all unreserved tokens at shutdown, to the owner of each account or to its record.
 /// Returns true if nothing is left.
 pub async fn return_prepaid<P: Protocol, S: Store>(state: &State<P>, store: &S) -> bool {
--- a/crates/gateway/src/prepaid.rs
+++ b/crates/gateway/src/prepaid.rs
@@ -17,35 +17,13 @@
 mod allocation;
 mod loan;
 mod plan;
+mod record;
 
 use allocation::Allocation;
 pub use allocation::DRAW_LOOKAHEAD;
 pub use loan::{LoanRefusal, LoanReply, LoanRequest, TokenDemand, TokenReturn};
 pub use plan::{REREAD_AFTER, RecordWrite, Role};
-
-/// What one entry last wrote about itself to a record.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holder {
-    /// TargetIncarnation of the entry.
-    pub start: u64,
-    /// Sequence number of the last write of this incarnation.
-    pub writes: u64,
-    /// Drawn tokens that were unused at that write.
-    pub unspent: Tokens,
-}
-
-/// The record of an account, shared by all entries.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// Tokens drawn by all entries minus the returned ones. Invariant: at most the prepaid total.
-    pub drawn: Tokens,
-    /// Tokens lost with entries that ended without returning them.
-    #[serde(default)]
-    pub lost: Tokens,
-    /// Entries that have written the record and are not known to have ended, also those without
-    /// tokens.
-    pub holders: BTreeMap<VmId, Holder>,
-}
+pub use record::{EndedHolder, EndedHolders, Holder, Record, WriteOutcome};
 
 /// Tokens reserved for one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -121,11 +99,19 @@
         current.is_some_and(|current| *current != Some(holder.start))
     }
 
+    /// Returns true if another entry is known to run in the incarnation of the holder.
+    fn is_running(&self, vm: &VmId, holder: &Holder) -> bool {
+        *vm != self.me && self.incarnations.get(vm) == Some(&Some(holder.start))
+    }
+
     /// Sums the tokens that other entries have not used according to the record.
     fn held_elsewhere(&self, record: &Record) -> Tokens {
         let others = record.holders.iter();
         let others = others.filter(|(vm, holder)| **vm != self.me && !self.has_ended(vm, holder));
-        others.map(|(_, holder)| holder.unspent).sum()
+        let held: Tokens = others.map(|(_, holder)| holder.unspent).sum();
+        let returned = record.ended_holders().iter();
+        let returned = returned.filter(|ended| self.is_running(&ended.vm, &ended.holder));
+        held + returned.map(|ended| ended.holder.unspent).sum()
     }
 
     /// Prepaid total of an account, zero if none is configured.
--- a/crates/gateway/src/prepaid/allocation.rs
+++ b/crates/gateway/src/prepaid/allocation.rs
@@ -58,6 +58,8 @@
     /// The write whose outcome is unknown. Invariant: no other write starts before the outcome is
     /// known.
     pub(super) pending: Option<RecordWrite>,
+    /// Epoch of the record that `pending` was made from; `None` for a record of an earlier version.
+    pub(super) pending_epoch: Option<u64>,
     /// An attempt of `pending` got no response, so the store may apply it as long as the record has
     /// the base version of the write.
     pub(super) is_unanswered: bool,
--- a/crates/gateway/src/prepaid/plan.rs
+++ b/crates/gateway/src/prepaid/plan.rs
@@ -4,7 +4,7 @@
 use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
 use serde::{Deserialize, Serialize};
 
-use super::{Allocation, Allocations, Holder, Record};
+use super::{Allocation, Allocations, Holder, Record, WriteOutcome};
 
 /// Maximum part of an account's remaining tokens that its owner holds, so that requests find tokens
 /// during an outage of the store and a kill loses little.
@@ -167,29 +167,38 @@
         allocation.last_record.is_none() || allocation.is_outdated || is_reread_due
     }
 
-    /// Stores a record that was read, and resolves a write of unknown outcome from it.
+    /// Stores a record that was read, and resolves a write of unknown outcome from it. Returns the
+    /// outcome. A record that is older than the base of that write is ignored.
     pub fn observe(
         &mut self,
         account: &ClientAccountId,
         version: Option<Version>,
-        record: Record,
+        mut record: Record,
         now: Millis,
-    ) {
+    ) -> Option<WriteOutcome> {
+        if version.is_none() {
+            // All first writes have the same epoch, so that the outcome of a losing one is known.
+            record.ended.get_or_insert_default();
+        }
         let (me, start) = (self.me.clone(), self.incarnation);
         let allocation = self.allocation(account);
+        let mut resolved = None;
         if let Some(write) = &allocation.pending {
-            let mine = record.holders.get(&me);
-            let is_applied =
-                mine.is_some_and(|mine| mine.start == start && mine.writes == allocation.writes);
-            if is_applied {
-                allocation.finish(true);
-            } else if write.base != version {
-                allocation.finish(false);
+            if version.is_some() && version < write.base {
+                allocation.is_outdated = true;
+                return None;
+            }
+            if version != write.base {
+                let base_epoch = allocation.pending_epoch;
+                let outcome = record.outcome(&me, start, allocation.writes, base_epoch);
+                allocation.finish(outcome);
+                resolved = Some(outcome);
             }
         }
         allocation.last_record = Some((version, record));
         allocation.read_at = now;
         allocation.is_outdated = false;
+        resolved
     }
 
     /// Returns the write that is due: the pending one of unknown outcome, or a new one.
@@ -204,8 +213,14 @@
             return Some(pending.clone());
         }
         let transfer = self.next_transfer(allocation, role, now)?;
-        let (base, record) = allocation.last_record.clone()?;
-        let record = self.without_ended(record);
+        let (base, mut record) = allocation.last_record.clone()?;
+        let base_epoch = record.epoch();
+        let writer = format!("{}/{}/{}", self.me, self.incarnation, allocation.writes + 1);
+        record.update_ended(
+            |vm, holder| self.has_ended(vm, holder),
+            |vm, holder| self.is_running(vm, holder),
+            &writer,
+        );
         let me = self.me.clone();
         let start = self.incarnation;
         let allocation = self.allocation(account);
@@ -224,6 +239,7 @@
             returned: transfer.returned,
         };
         allocation.pending = Some(write.clone());
+        allocation.pending_epoch = base_epoch;
         Some(write)
     }
 
@@ -235,7 +251,7 @@
             allocation.read_at = now;
             allocation.written_at = now;
         }
-        allocation.finish(true);
+        allocation.finish(WriteOutcome::Applied);
     }
 
     /// Records that an attempt of the planned write found another version of the record. The next
@@ -244,7 +260,7 @@
         let allocation = self.allocation(account);
         allocation.is_outdated = true;
         if !allocation.is_unanswered {
-            allocation.finish(false);
+            allocation.finish(WriteOutcome::NotApplied);
         }
     }
 
@@ -252,7 +268,7 @@
     pub fn refused(&mut self, account: &ClientAccountId) {
         let allocation = self.allocation(account);
         if !allocation.is_unanswered {
-            allocation.finish(false);
+            allocation.finish(WriteOutcome::NotApplied);
         }
     }
 
@@ -263,18 +279,6 @@
         allocation.is_unanswered = allocation.pending.is_some();
     }
 
-    /// Counts the unreturned tokens of ended holders as lost.
-    fn without_ended(&self, mut record: Record) -> Record {
-        let ended = record.holders.iter();
-        let ended = ended.filter(|(vm, holder)| self.has_ended(vm, holder));
-        let lost: Tokens = ended.map(|(_, holder)| holder.unspent).sum();
-        record.lost += lost;
-        record
-            .holders
-            .retain(|vm, holder| !self.has_ended(vm, holder));
-        record
-    }
-
     /// Returns the transfer that is due; an empty one if the record only has to be corrected.
     fn next_transfer(&self, allocation: &Allocation, role: Role, now: Millis) -> Option<Transfer> {
         let (_, record) = allocation.last_record.as_ref()?;
@@ -297,8 +301,12 @@
     }
 
     /// Returns true if the record of a nearly exhausted account overstates the tokens that this
-    /// entry holds.
+    /// entry holds, or if the record counts this entry as ended.
     fn is_correction_due(&self, allocation: &Allocation, record: &Record, now: Millis) -> bool {
+        let is_old = now.saturating_sub(allocation.written_at) >= MIN_CORRECTION_INTERVAL;
+        if record.is_counted_as_ended(&self.me, self.incarnation) {
+            return is_old;
+        }
         let paid = allocation.paid.unwrap_or_default().get();
         let left = paid.saturating_sub(record.drawn.get());
         let mine = record.holders.get(&self.me);
@@ -311,7 +319,6 @@
             _ => MIN_SURPLUS_DIVISOR,
         };
         let is_wrong = recorded.saturating_sub(allocation.unspent()).get() > paid / divisor;
-        let is_old = now.saturating_sub(allocation.written_at) >= MIN_CORRECTION_INTERVAL;
         is_wrong && is_old && left < paid * SCARCE_PERCENT / 100
     }
 
@@ -371,17 +378,17 @@
         self.paid.is_some() && (role == Role::Owner || is_acting_owner)
     }
 
-    /// Ends the pending write and credits its tokens: the drawn ones if it was applied, otherwise
-    /// those that it should have returned.
-    fn finish(&mut self, is_applied: bool) {
+    /// Ends the pending write and credits its tokens: the drawn ones if it was applied, those that
+    /// it should have returned if it was not.
+    fn finish(&mut self, outcome: WriteOutcome) {
         let Some(write) = self.pending.take() else {
             return;
         };
         self.is_unanswered = false;
-        self.free += if is_applied {
-            write.drawn
-        } else {
-            write.returned
+        self.free += match outcome {
+            WriteOutcome::Applied => write.drawn,
+            WriteOutcome::NotApplied => write.returned,
+            WriteOutcome::Unknown => Tokens::ZERO,
         };
     }
 }
@@ -390,6 +397,6 @@
 /// write number tells whether the write was applied.
 fn next_record(mut record: Record, me: &VmId, mine: Holder, transfer: Transfer) -> Record {
     record.drawn = (record.drawn + transfer.drawn).saturating_sub(transfer.returned);
-    record.holders.insert(me.clone(), mine);
+    record.set_holder(me, mine);
     record
 }
--- a/crates/gateway/tests/gateway/prepaid.rs
+++ b/crates/gateway/tests/gateway/prepaid.rs
@@ -1,6 +1,8 @@
 //! Allocations of prepaid tokens, case by case.
 
-use cyc_gateway::prepaid::{Allocations, DRAW_LOOKAHEAD, REREAD_AFTER, Record, Role, Shortage};
+use cyc_gateway::prepaid::{
+    Allocations, DRAW_LOOKAHEAD, REREAD_AFTER, Record, Role, Shortage, WriteOutcome,
+};
 use cyc_types::{ClientAccountId, Millis, Tokens, Version};
 use googletest::prelude::*;
 
@@ -324,3 +326,115 @@
     let shortage = second.reserve(&account(), tokens(5_000), now);
     expect_that!(shortage, err(eq(&Shortage::Exhausted)));
 }
+
+/// An entry that draws 40,000 tokens, returns most of them by a write whose response is lost, and
+/// is counted as ended by another entry before it reads the record again.
+fn return_then_silence(is_applied: bool, keeps_ended: bool) -> (Allocations, Stored, Tokens) {
+    let mut stored = Stored::default();
+    let mut first = allocations("vm-1", 100_000);
+    first.add_waiter(&account(), tokens(40_000));
+    expect_true!(write(&mut first, &mut stored, Millis::ZERO));
+    first.remove_waiter(&account(), tokens(40_000));
+    let now = Millis::new(2_000);
+    let planned = first.plan(&account(), Role::Owner, now).unwrap();
+    expect_that!(planned.returned, gt(tokens(20_000)));
+    first.unanswered(&account());
+    if is_applied {
+        stored = (Some(Version::new(2)), planned.record);
+    }
+    let mut second = allocations("vm-2", 100_000);
+    second.set_incarnations([("vm-1".parse().unwrap(), None)].into());
+    second.add_waiter(&account(), tokens(500));
+    let later = Millis::new(40_000);
+    expect_true!(write(&mut second, &mut stored, later));
+    expect_false!(
+        stored
+            .1
+            .holders
+            .contains_key(&"vm-1".parse::<cyc_types::VmId>().unwrap())
+    );
+    if !keeps_ended {
+        // An entry of an earlier version writes the fields that it knows.
+        stored.1.ended = None;
+    }
+    let returned = planned.returned;
+    (first, stored, returned)
+}
+
+/// Returned tokens were taken back, and used twice, if another entry had meanwhile counted the
+/// returning entry as ended.
+#[gtest]
+fn a_return_that_was_applied_is_not_taken_back_after_a_long_silence() {
+    let now = Millis::new(41_000);
+    for keeps_ended in [true, false] {
+        let (mut first, stored, _) = return_then_silence(true, keeps_ended);
+        let free = first.holding(&account()).0;
+        let outcome = first.observe(&account(), stored.0, stored.1, now);
+        let expected = match keeps_ended {
+            true => WriteOutcome::Applied,
+            false => WriteOutcome::Unknown,
+        };
+        expect_that!(outcome, some(eq(expected)));
+        expect_that!(first.holding(&account()).0, eq(free));
+    }
+}
+
+/// A return that the store never applied must not cost the account its tokens.
+#[gtest]
+fn a_return_that_was_not_applied_is_taken_back_after_a_long_silence() {
+    let now = Millis::new(41_000);
+    let (mut first, stored, returned) = return_then_silence(false, true);
+    let free = first.holding(&account()).0;
+    let outcome = first.observe(&account(), stored.0, stored.1, now);
+    expect_that!(outcome, some(eq(WriteOutcome::NotApplied)));
+    expect_that!(first.holding(&account()).0, eq(free + returned));
+}
+
+/// The tokens of an entry that was only silent are not lost; counting them as lost for ever would
+/// reduce what its owner may hold and hide the tokens from callers of other entries.
+#[gtest]
+fn tokens_of_an_entry_that_comes_back_do_not_count_as_lost() {
+    let (mut first, mut stored, _) = return_then_silence(true, true);
+    expect_that!(stored.1.lost, gt(Tokens::ZERO));
+    // Another entry reads its new heartbeat and writes for a reason of its own.
+    let mut by_other = stored.clone();
+    let mut second = allocations("vm-2", 100_000);
+    second.set_incarnations([("vm-1".parse().unwrap(), Some(1))].into());
+    second.add_waiter(&account(), tokens(5_000));
+    let now = Millis::new(41_000);
+    expect_true!(write(&mut second, &mut by_other, now));
+    expect_that!(by_other.1.lost, eq(Tokens::ZERO));
+    // Or it writes itself, as a correction if nothing else is due.
+    expect_true!(write_as(&mut first, Role::Borrower, &mut stored, now));
+    expect_that!(stored.1.lost, eq(Tokens::ZERO));
+    expect_that!(stored.1.drawn, le(tokens(41_000)));
+}
+
+/// The list of ended entries must not grow with each kill.
+#[gtest]
+fn the_list_of_ended_entries_is_bounded() {
+    let mut stored = Stored::default();
+    let mut epochs = Vec::new();
+    for incarnation in 1..100 {
+        let mut allocations = Allocations::new("vm-1".parse().unwrap(), incarnation);
+        allocations.set_prepaid([(account(), tokens(10_000_000))]);
+        allocations.add_waiter(&account(), tokens(1_000));
+        expect_true!(write(&mut allocations, &mut stored, Millis::ZERO));
+        let ended = stored.1.ended.clone().unwrap();
+        expect_that!(ended.holders.len(), le(16));
+        epochs.push(ended.epoch);
+    }
+    // While nothing is dropped, absence from the list proves that a write was not applied.
+    expect_that!(epochs[0], eq(epochs[15]));
+    expect_that!(epochs[98], not(eq(epochs[0])));
+    expect_that!(stored.1.lost, gt(tokens(98_000)));
+}
+
+/// Entries of the previous version run beside new ones during an update.
+#[gtest]
+fn records_of_earlier_versions_are_read() {
+    let old = r#"{"drawn":900,"lost":5,"holders":{"vm-1":{"start":7,"writes":2,"unspent":30}}}"#;
+    let record: Record = serde_json::from_str(old).unwrap();
+    expect_that!(record.ended, none());
+    expect_that!(serde_json::to_string(&record), ok(eq(old)));
+}
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -43,3 +43,6 @@
 pub const TARGETS_CRASHED: &str = "targets_crashed";
 /// Counter: requests that were not sent to a target because of the limit that it names.
 pub const LIMIT_DENIALS: &str = "limit_denials";
+/// Counter prefix: writes of prepaid records whose response was lost, by the outcome that the
+/// record shows.
+pub const PREPAID_WRITES_RESOLVED: &str = "prepaid_writes_resolved.";
