prepaid: decisions on prepaid tokens in a crate of their own

crates/gateway/src/prepaid.rs and prepaid/ move to crates/prepaid (cyc-prepaid); gateway re-exports it as gateway::prepaid. No change of behaviour.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,8 @@
 //! An entry that connects to its targets directly over HTTP.
 //!
 //! Modules that decide without I/O: [`config`] selects the route and the account, [`member`] lists
-//! the targets, [`peers`] the running entries, [`store_health`] whether the store answers, [`prepaid`] manages prepaid tokens, [`fleet`] tracks
+//! the targets, [`peers`] the running entries, [`store_health`] whether the store answers, [`prepaid`] (a crate
+//! of its own) manages prepaid tokens, [`fleet`] tracks
 //! the state of each target, [`group`] and [`affinity`] narrow the choice of a large service,
 //! [`choose`] selects a target, [`crash`] refuses prompts that crash targets, [`news`] spreads what
 //! one entry has learnt to the others, [`retry_budget`] limits retries, and
@@ -27,7 +28,6 @@
 pub mod news;
 pub mod peers;
 pub mod port;
-pub mod prepaid;
 pub mod proxy;
 pub mod retry_budget;
 pub mod serve;
@@ -36,4 +36,6 @@
 pub mod store_health;
 pub mod stream;
 
+/// Decisions on prepaid tokens.
+pub use cyc_prepaid as prepaid;
 pub use daemon::{Settings, run};
--- a/crates/gateway/tests/gateway/loan.rs
+++ b/crates/gateway/tests/gateway/loan.rs
@@ -375,7 +375,7 @@
     for is_reply_lost in [true, false] {
         let mut lender = owner(60_000);
         let mut borrower = borrower("vm-2", 0);
-        let mut ask = |borrower: &mut Allocations, lender: &mut Allocations, has_reply| {
+        let ask = |borrower: &mut Allocations, lender: &mut Allocations, has_reply| {
             let mut request = request("vm-2", demand(borrower, 9_000));
             let delivery = borrower.loan_delivery(&account(), &vm("vm-1"));
             request.delivery = Some(delivery);
--- a/crates/gateway/src/prepaid/allocation.rs
+++ b/crates/prepaid/src/allocation.rs
@@ -4,7 +4,7 @@
 
 use cyc_types::{Millis, Tokens, Version, VmId};
 
-use super::{
+use crate::{
     Record, RecordWrite, UnansweredReturn,
     delivery::LastMessages,
     loan::{Loan, RefusedLoan},
@@ -21,65 +21,65 @@
 
 /// Tokens of one account allocated to this entry.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Allocation {
+pub(crate) struct Allocation {
     /// Prepaid total; `None` if the active configuration has none.
-    pub(super) paid: Option<Tokens>,
-    pub(super) free: Tokens,
-    pub(super) reserved: Tokens,
+    pub(crate) paid: Option<Tokens>,
+    pub(crate) free: Tokens,
+    pub(crate) reserved: Tokens,
     /// The part of `reserved` that targets have already used: prompts of running requests.
-    pub(super) running: Tokens,
+    pub(crate) running: Tokens,
     /// Tokens needed by each waiting request.
-    pub(super) waiting: Vec<Tokens>,
+    pub(crate) waiting: Vec<Tokens>,
     /// When a request last found too few tokens.
-    pub(super) short_at: Option<Millis>,
+    pub(crate) short_at: Option<Millis>,
     /// Why another entry last refused a loan.
-    pub(super) refused_loan: Option<RefusedLoan>,
+    pub(crate) refused_loan: Option<RefusedLoan>,
     /// Loans that other entries may still hold.
-    pub(super) loans: BTreeMap<VmId, Loan>,
+    pub(crate) loans: BTreeMap<VmId, Loan>,
     /// The last messages from the other entries. Entries that are gone leave some bytes.
-    pub(super) last_messages: BTreeMap<VmId, LastMessages>,
+    pub(crate) last_messages: BTreeMap<VmId, LastMessages>,
     /// Lenders that did not reply to the last requests, with the number of the first of these.
-    pub(super) unanswered_loans: BTreeMap<VmId, u64>,
+    pub(crate) unanswered_loans: BTreeMap<VmId, u64>,
     /// A return without response. Invariant: none other is sent before it is resolved.
-    pub(super) unanswered_return: Option<UnansweredReturn>,
+    pub(crate) unanswered_return: Option<UnansweredReturn>,
     /// This entry is acting owner until then.
-    pub(super) acting_owner_until: Option<Millis>,
+    pub(crate) acting_owner_until: Option<Millis>,
     /// Tokens per second, exponentially averaged.
     rate: f64,
     rate_at: Millis,
     /// Maximum cost of the largest recent request, and when it ended.
     largest: (Tokens, Millis),
     /// Fraction of their reserved tokens that requests use, averaged; zero before the first one.
-    pub(super) used_fraction: f64,
+    pub(crate) used_fraction: f64,
     /// The record as last read or written, with its version; no version if the record does not
     /// exist.
-    pub(super) last_record: Option<(Option<Version>, Record)>,
+    pub(crate) last_record: Option<(Option<Version>, Record)>,
     /// When the record was last read or written.
-    pub(super) read_at: Millis,
+    pub(crate) read_at: Millis,
     /// `last_record` may be outdated: a write found another version.
-    pub(super) is_outdated: bool,
+    pub(crate) is_outdated: bool,
     /// When this entry last wrote the record.
-    pub(super) written_at: Millis,
+    pub(crate) written_at: Millis,
     /// Writes of this incarnation.
-    pub(super) writes: u64,
+    pub(crate) writes: u64,
     /// The write whose outcome is unknown. Invariant: no other write starts before the outcome is
     /// known.
-    pub(super) pending: Option<RecordWrite>,
+    pub(crate) pending: Option<RecordWrite>,
     /// Epoch of the record that `pending` was made from; `None` for a record of an earlier version.
-    pub(super) pending_epoch: Option<u64>,
+    pub(crate) pending_epoch: Option<u64>,
     /// An attempt of `pending` got no response, so the store may apply it as long as the record has
     /// the base version of the write.
-    pub(super) is_unanswered: bool,
+    pub(crate) is_unanswered: bool,
 }
 
 impl Allocation {
     /// Tokens that all waiting requests need together.
-    pub(super) fn total_waiting(&self) -> Tokens {
+    pub(crate) fn total_waiting(&self) -> Tokens {
         self.waiting.iter().copied().sum()
     }
 
     /// Tokens that are not used yet.
-    pub(super) fn unspent(&self) -> Tokens {
+    pub(crate) fn unspent(&self) -> Tokens {
         self.free + self.reserved.saturating_sub(self.running)
     }
 
@@ -88,27 +88,27 @@
         self.rate * (-age / RATE_TIME_CONSTANT.get() as f64).exp()
     }
 
-    pub(super) fn record_use(&mut self, used: Tokens, now: Millis) {
+    pub(crate) fn record_use(&mut self, used: Tokens, now: Millis) {
         let span_s = RATE_TIME_CONSTANT.get() as f64 / 1_000.0;
         self.rate = self.rate(now) + used.get() as f64 / span_s;
         self.rate_at = now;
     }
 
     /// Takes back a part of the recorded use.
-    pub(super) fn remove_use(&mut self, unused: Tokens, now: Millis) {
+    pub(crate) fn remove_use(&mut self, unused: Tokens, now: Millis) {
         let span_s = RATE_TIME_CONSTANT.get() as f64 / 1_000.0;
         self.rate = (self.rate(now) - unused.get() as f64 / span_s).max(0.0);
         self.rate_at = now;
     }
 
     /// Maximum cost of the largest recent request; zero if there was none.
-    pub(super) fn largest_request(&self, now: Millis) -> Tokens {
+    pub(crate) fn largest_request(&self, now: Millis) -> Tokens {
         let is_old = now.saturating_sub(self.largest.1) > LARGEST_REQUEST_TTL;
         if is_old { Tokens::ZERO } else { self.largest.0 }
     }
 
     /// Records a finished request that used `used` of `max_cost` reserved tokens.
-    pub(super) fn record_request(&mut self, used: Tokens, max_cost: Tokens, now: Millis) {
+    pub(crate) fn record_request(&mut self, used: Tokens, max_cost: Tokens, now: Millis) {
         if !used.is_zero() {
             let fraction = used.get() as f64 / max_cost.get().max(1) as f64;
             self.used_fraction = match self.used_fraction {
@@ -123,13 +123,13 @@
     }
 
     /// Expected use in `span` at the measured rate.
-    pub(super) fn expected_use(&self, span: Millis, now: Millis) -> Tokens {
+    pub(crate) fn expected_use(&self, span: Millis, now: Millis) -> Tokens {
         let expected_use = self.rate(now) * span.get() as f64 / 1_000.0;
         Tokens::new(expected_use as u64)
     }
 
     /// Tokens that cover the expected use in [`DRAW_LOOKAHEAD`] and one more large request.
-    pub(super) fn expected_need(&self, now: Millis) -> Tokens {
+    pub(crate) fn expected_need(&self, now: Millis) -> Tokens {
         self.expected_use(DRAW_LOOKAHEAD, now) + self.largest.0
     }
 }
--- a/crates/gateway/src/prepaid/delivery.rs
+++ b/crates/prepaid/src/delivery.rs
@@ -4,7 +4,7 @@
 use cyc_types::{ClientAccountId, Tokens, VmId};
 use serde::{Deserialize, Serialize};
 
-use super::{Allocations, TokenReturn, allocation::Allocation};
+use crate::{Allocations, TokenReturn, allocation::Allocation};
 
 /// Identifies a request for a loan. Entries of earlier versions neither send nor read it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,7 +41,7 @@
 
 /// The last messages from one other entry about one account.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct LastMessages {
+pub(crate) struct LastMessages {
     /// Incarnation of the other entry.
     start: u64,
     /// Number of the last request for a loan.
@@ -65,7 +65,7 @@
 
     /// Takes over a request for a loan, and returns the tokens of the last loan if its reply was
     /// lost. `None` for a late or repeated request, whose reply nobody reads.
-    pub(super) fn accept_loan_request(&mut self, delivery: LoanDelivery) -> Option<Tokens> {
+    pub(crate) fn accept_loan_request(&mut self, delivery: LoanDelivery) -> Option<Tokens> {
         self.set_start(delivery.start);
         if delivery.number <= self.loan {
             return None;
@@ -79,12 +79,12 @@
     }
 
     /// Records the tokens lent for the last request.
-    pub(super) fn record_lent(&mut self, tokens: Tokens) {
+    pub(crate) fn record_lent(&mut self, tokens: Tokens) {
         self.lent = tokens;
     }
 
     /// Takes over a return. False if it was accepted before.
-    pub(super) fn accept_return(&mut self, delivery: ReturnDelivery) -> bool {
+    pub(crate) fn accept_return(&mut self, delivery: ReturnDelivery) -> bool {
         self.set_start(delivery.start);
         let is_new = delivery.number > self.token_return;
         self.token_return = self.token_return.max(delivery.number);
@@ -94,7 +94,7 @@
 
 impl Allocation {
     /// Returns true if another entry may or may not have got a return of this account.
-    pub(super) fn has_unanswered_return(&self) -> bool {
+    pub(crate) fn has_unanswered_return(&self) -> bool {
         self.unanswered_return.is_some()
     }
 }
--- a/crates/gateway/src/prepaid/loan.rs
+++ b/crates/prepaid/src/loan.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{Allocation, Allocations, LoanDelivery, ReturnDelivery, Role, Shortage};
+use crate::{Allocation, Allocations, LoanDelivery, ReturnDelivery, Role, Shortage};
 
 /// A loan to a borrower that often uses the account covers this much further use, so that not every
 /// request needs a loan of its own. Tokens that borrowers hold serve no request elsewhere, and are
@@ -83,8 +83,8 @@
 
 /// The last refusal of a loan for an account.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct RefusedLoan {
-    pub(super) refusal: LoanRefusal,
+pub(crate) struct RefusedLoan {
+    pub(crate) refusal: LoanRefusal,
     /// Maximum cost of the request that lacked tokens.
     max_cost: Tokens,
     at: Millis,
@@ -92,14 +92,14 @@
 
 impl RefusedLoan {
     /// Returns true if the lender knew that fewer than `max_cost` tokens are left.
-    pub(super) fn is_exhausted_for(self, max_cost: Tokens) -> bool {
+    pub(crate) fn is_exhausted_for(self, max_cost: Tokens) -> bool {
         self.refusal.shortage == Shortage::Exhausted && max_cost >= self.max_cost
     }
 }
 
 impl Allocation {
     /// The last refusal of a loan, unless it is too old to tell anything.
-    pub(super) fn refused_loan(&self, now: Millis) -> Option<RefusedLoan> {
+    pub(crate) fn refused_loan(&self, now: Millis) -> Option<RefusedLoan> {
         self.refused_loan
             .filter(|refused| now.saturating_sub(refused.at) < LOAN_REFUSAL_TTL)
     }
@@ -123,7 +123,7 @@
 
 /// Tokens lent to one borrower.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Loan {
+pub(crate) struct Loan {
     tokens: Tokens,
     at: Millis,
 }
@@ -139,7 +139,7 @@
 
 impl Allocation {
     /// Tokens lent by this entry that borrowers will probably not use.
-    pub(super) fn expected_returns(&self, now: Millis) -> Tokens {
+    pub(crate) fn expected_returns(&self, now: Millis) -> Tokens {
         let outstanding: Tokens = self.loans.values().map(|loan| loan.outstanding(now)).sum();
         Tokens::new((outstanding.get() as f64 * (1.0 - self.used_fraction)) as u64)
     }
--- a/crates/gateway/src/prepaid/plan.rs
+++ b/crates/prepaid/src/plan.rs
@@ -4,7 +4,7 @@
 use cyc_types::{ClientAccountId, Millis, Tokens, Version, VmId};
 use serde::{Deserialize, Serialize};
 
-use super::{Allocation, Allocations, Holder, Record, WriteOutcome};
+use crate::{Allocation, Allocations, Holder, Record, WriteOutcome};
 
 /// Maximum part of an account's remaining tokens that its owner holds, so that requests find tokens
 /// during an outage of the store and a kill loses little.
--- a/crates/gateway/src/prepaid/record.rs
+++ b/crates/prepaid/src/record.rs
@@ -72,24 +72,24 @@
 
 impl Record {
     /// The epoch of the list of ended holders.
-    pub(super) fn epoch(&self) -> Option<u64> {
+    pub(crate) fn epoch(&self) -> Option<u64> {
         self.ended.as_ref().map(|ended| ended.epoch)
     }
 
     /// Holders that were counted as ended and are still listed.
-    pub(super) fn ended_holders(&self) -> &[EndedHolder] {
+    pub(crate) fn ended_holders(&self) -> &[EndedHolder] {
         self.ended.as_ref().map_or(&[], |ended| &ended.holders)
     }
 
     /// Returns true if the incarnation of an entry was counted as ended.
-    pub(super) fn is_counted_as_ended(&self, vm: &VmId, start: u64) -> bool {
+    pub(crate) fn is_counted_as_ended(&self, vm: &VmId, start: u64) -> bool {
         let mut ended = self.ended_holders().iter();
         ended.any(|ended| ended.vm == *vm && ended.holder.start == start)
     }
 
     /// Outcome of the write number `writes` of an incarnation, which was made from another version
     /// of the record with the epoch `base_epoch`.
-    pub(super) fn outcome(
+    pub(crate) fn outcome(
         &self,
         vm: &VmId,
         start: u64,
@@ -111,7 +111,7 @@
     /// Counts the unreturned tokens of the holders as lost for which `has_ended` returns true, and
     /// takes that back for those that run after all according to `is_running`. `writer` is a unique
     /// text for this write.
-    pub(super) fn update_ended(
+    pub(crate) fn update_ended(
         &mut self,
         has_ended: impl Fn(&VmId, &Holder) -> bool,
         is_running: impl Fn(&VmId, &Holder) -> bool,
@@ -148,7 +148,7 @@
     }
 
     /// Sets what the writer writes about itself. If it was counted as ended, that is taken back.
-    pub(super) fn set_holder(&mut self, vm: &VmId, holder: Holder) {
+    pub(crate) fn set_holder(&mut self, vm: &VmId, holder: Holder) {
         if let Some(list) = &mut self.ended {
             let is_same =
                 |ended: &EndedHolder| ended.vm == *vm && ended.holder.start == holder.start;
