prepaid: forecast of shortages and order of the last tokens

Cause: near the end of an account, remainders of loans stayed at the borrowers, requests were served by whichever entry asked first, and an exhausted account got 503 from most entries.

Change: the entry that draws compares what is left with the measured use and tells the others in its replies. Replies tell how many tokens are left and whether only a top-up can help, so that all entries answer 402. Running requests count with what they will probably not use.

--- a/crates/gateway/src/control/loans.rs
+++ b/crates/gateway/src/control/loans.rs
@@ -3,12 +3,13 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc};
 
-use cyc_types::{Backoff, ClientAccountId, Millis};
+use cadence::CountedExt as _;
+use cyc_types::{Backoff, ClientAccountId, Millis, Tokens};
 use futures::future::join_all;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     task::yield_now,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
 use super::peer_call::{self, CallError, LOAN_PATH, RETURN_AGAIN_PATH, RETURN_PATH};
@@ -17,7 +18,7 @@
     port::Protocol,
     prepaid::{
         LoanRefusal, LoanReply, LoanRequest, Role, Shortage, TokenDemand, TokenReturn,
-        UnansweredReturn,
+        UnansweredReturn, WaiterId, last_tokens::Claim,
     },
     state::State,
 };
@@ -40,6 +41,8 @@
 const MIN_ROUND_INTERVAL: Millis = Millis::new(5);
 /// Interval between checks for surplus tokens.
 const RETURN_INTERVAL: Millis = Millis::new(1_000);
+/// Minimum time between returns of an account that runs short, so that several requests share one.
+const SHORT_RETURN_INTERVAL: Millis = Millis::new(500);
 
 /// Recent failures to get loans from other entries.
 #[derive(Debug, Default)]
@@ -88,11 +91,27 @@
     }
 }
 
-/// Returns surplus tokens periodically; never returns.
+/// Returns surplus tokens periodically, and of accounts that run short as soon as requests leave
+/// some; never returns.
 pub async fn run_token_returns<P: Protocol>(state: Rc<State<P>>) {
+    let mut checked_at = Instant::now();
     loop {
-        sleep(RETURN_INTERVAL.duration()).await;
-        return_surplus(&state).await;
+        let now = state.now();
+        let due_at = checked_at + RETURN_INTERVAL.duration();
+        if state.allocations.borrow_mut().has_told_shortage(now) {
+            // The timeout is the regular interval.
+            timeout_at(due_at, state.allocations_changed.notified())
+                .await
+                .ok();
+            return_short(&state).await;
+            sleep(SHORT_RETURN_INTERVAL.duration()).await;
+        } else {
+            sleep_until(due_at).await;
+        }
+        if Instant::now() >= due_at {
+            checked_at = Instant::now();
+            return_surplus(&state).await;
+        }
     }
 }
 
@@ -176,11 +195,18 @@
             is_owner_unavailable = reply.is_none_or(cannot_draw);
         }
         let Some(reply) = reply else { continue };
+        if should_draw {
+            let now = state.now();
+            let mut allocations = state.allocations.borrow_mut();
+            allocations.record_told_shortage(&account, reply.is_short, now);
+        }
         if let Some(shortage) = reply.short {
             let now = state.now();
             let refusal = LoanRefusal {
                 shortage,
                 store_outage: reply.store_outage,
+                left: reply.left,
+                exhausted_total: reply.exhausted_total,
             };
             let mut allocations = state.allocations.borrow_mut();
             allocations.record_loan_refusal(&demand, refusal, now);
@@ -225,6 +251,8 @@
     should_draw: bool,
 ) -> Option<LoanReply> {
     let account = &demand.account;
+    let now = state.now();
+    let first = state.allocations.borrow().first_claim(account);
     let delivery = state
         .allocations
         .borrow_mut()
@@ -237,6 +265,8 @@
         want: demand.want,
         should_draw,
         delivery: Some(delivery),
+        rank: first.map_or(0, |claim| claim.rank),
+        waited: first.map_or(Millis::ZERO, |claim| now.saturating_sub(claim.since)),
     };
     let reply: Result<LoanReply, CallError> = call(state, lender.addr, LOAN_PATH, &request).await;
     state
@@ -277,6 +307,21 @@
         .allocations
         .borrow_mut()
         .return_surplus(role, entries, state.now());
+    send_returns(state, given).await;
+}
+
+/// Returns tokens of accounts that run short: requests at other entries wait for them.
+async fn return_short<P>(state: &State<P>) {
+    let role = |account: &ClientAccountId| state.role(account);
+    let entries = state.entries();
+    let given = state
+        .allocations
+        .borrow_mut()
+        .return_surplus_of_short(role, entries, state.now());
+    send_returns(state, given).await;
+}
+
+async fn send_returns<P>(state: &State<P>, given: Vec<(ClientAccountId, Tokens)>) {
     let returns = given.into_iter().map(async |(account, tokens)| {
         let Some(owner) = lenders(state, &account).into_iter().next() else {
             state.allocations.borrow_mut().borrow(&account, tokens);
@@ -393,58 +438,93 @@
     let now = state.now();
     let mut allocations = state.allocations.borrow_mut();
     let tokens = allocations.lend(request, now);
-    let short = (tokens < request.least).then(|| allocations.shortage(account, request.least, now));
+    let is_short = allocations.is_short(account, now);
+    let short = (tokens < request.least).then(|| {
+        match allocations.shortage(account, request.least, now) {
+            // The tokens here are for requests that come first.
+            Shortage::Drawable if is_short && request.should_draw => Shortage::Elsewhere,
+            shortage => shortage,
+        }
+    });
+    let left = short.and_then(|_| allocations.left(account, now));
+    let exhausted_total = short.and_then(|_| allocations.exhausted_total(account));
     drop(allocations);
     let store_outage = state.store_health.borrow().outage(now);
     state.draw_requested.notify_one();
+    if is_short && !tokens.is_zero() {
+        let name = cyc_obs::names::PREPAID_LAST_LOANS;
+        state.metrics.incr(name).ok();
+    }
     spdlog::info!("loan_answered", kv: {
         account = account.as_str(),
         borrower = request.from.as_str(),
         least = request.least.get(),
         want = request.want.get(),
+        rank = request.rank,
+        waited_ms = request.waited.get(),
         tokens = tokens.get(),
+        is_short = is_short,
         shortage = short.map(|short| format!("{short:?}")).unwrap_or_default(),
+        left = left.map_or(0, Tokens::get),
     });
     LoanReply {
         tokens,
         short,
         store_outage,
+        is_short,
+        left,
+        exhausted_total,
     }
 }
 
-/// Waits while a draw can provide the requested tokens.
+/// Waits while a draw, or during a shortage a return, can provide the requested tokens.
 async fn wait_for_draw<P>(state: &State<P>, request: &LoanRequest, until: Instant) {
     let account = &request.account;
     let lacks = |now: Millis| {
         let allocations = state.allocations.borrow();
-        let has_enough = allocations.holding(account).0 >= request.least;
-        let may_help = matches!(
-            allocations.shortage(account, request.least, now),
-            Shortage::Drawable | Shortage::Unknown
-        );
-        !has_enough && may_help && state.prepaid_failures.get() == 0
+        if allocations.can_lend(request, now) {
+            return false;
+        }
+        match allocations.shortage(account, request.least, now) {
+            Shortage::Drawable | Shortage::Unknown => state.prepaid_failures.get() == 0,
+            Shortage::Elsewhere => allocations.is_short(account, now),
+            Shortage::Exhausted => false,
+        }
     };
-    if !lacks(state.now()) {
-        return;
-    }
-    state
-        .allocations
-        .borrow_mut()
-        .add_waiter(account, request.want);
     loop {
         let changed = state.allocations_changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
         if !lacks(state.now()) {
-            break;
+            return;
         }
+        // It waits among the requests of this entry, except while it is compared with them above.
+        let claim = Claim {
+            tokens: request.want,
+            ..request.claim(state.now())
+        };
+        let _waiter = LoanWaiter {
+            state,
+            account,
+            id: state.allocations.borrow_mut().add_claim(account, claim),
+        };
         state.draw_requested.notify_one();
         if timeout_at(until, changed).await.is_err() {
-            break;
+            return;
         }
     }
-    state
-        .allocations
-        .borrow_mut()
-        .remove_waiter(account, request.want);
+}
+
+/// Registers a request for a loan that waits for tokens until dropped, also if its borrower leaves.
+struct LoanWaiter<'a, P> {
+    state: &'a State<P>,
+    account: &'a ClientAccountId,
+    id: WaiterId,
+}
+
+impl<P> Drop for LoanWaiter<'_, P> {
+    fn drop(&mut self) {
+        let mut allocations = self.state.allocations.borrow_mut();
+        allocations.remove_claim(self.account, self.id);
+    }
 }
--- a/crates/gateway/src/control/prepaid.rs
+++ b/crates/gateway/src/control/prepaid.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use cadence::CountedExt as _;
+use cadence::{CountedExt as _, Gauged as _};
 use cyc_types::{ClientAccountId, Millis, Version};
 use futures::{StreamExt as _, stream};
 use tokio::time::{Instant, sleep, timeout};
@@ -136,6 +136,7 @@
         observe(state, account, version, record);
     }
     let now = state.now();
+    log_forecast(state, account, role, now);
     let write = state.allocations.borrow_mut().plan(account, role, now);
     state.allocations_changed.notify_waiters();
     let Some(write) = write else {
@@ -159,6 +160,32 @@
     written.map(|written| matches!(written, Written::Done(_)))
 }
 
+/// Logs when the account begins to run short, or no longer does, as this entry expects as its owner.
+fn log_forecast<P>(state: &State<P>, account: &ClientAccountId, role: Role, now: Millis) {
+    let forecast = match role {
+        Role::Owner => state.allocations.borrow().forecast(account, now),
+        Role::Borrower => None,
+    };
+    let Some(forecast) = forecast else { return };
+    let mut short = state.short_accounts.borrow_mut();
+    let has_changed = match forecast.is_short {
+        true => short.insert(account.clone()),
+        false => short.remove(account),
+    };
+    if !has_changed {
+        return;
+    }
+    spdlog::info!("prepaid_shortage", kv: {
+        account = account.as_str(),
+        is_short = forecast.is_short,
+        left = forecast.left.get(),
+        expected_use = forecast.expected_use.get(),
+        paid = state.allocations.borrow().prepaid(account).get(),
+    });
+    let name = cyc_obs::names::PREPAID_SHORT_ACCOUNTS;
+    state.metrics.gauge(name, short.len() as u64).ok();
+}
+
 /// Takes over a record that was read, and logs the outcome of a write whose response was lost.
 fn observe<P>(
     state: &State<P>,
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -19,7 +19,7 @@
     crash::Admission,
     member::TargetIncarnation,
     port::Protocol,
-    prepaid::{DRAW_LOOKAHEAD, Reservation, Role, Shortage},
+    prepaid::{DRAW_LOOKAHEAD, Reservation, Role, Shortage, WaiterId, last_tokens::Claim},
     state::State,
     stream,
 };
@@ -36,6 +36,9 @@
 /// Base of `Retry-After`; a random part of up to the same length is added so that refused callers
 /// do not return together.
 const RETRY_AFTER: Millis = Millis::new(400);
+/// The same while an account runs short: running requests end in about this time and leave what they
+/// have not used.
+const RETRY_AFTER_SHORT: Millis = Millis::new(1_000);
 /// Expected length of an outage of the store, during which no tokens can be drawn. Callers are told
 /// to return at its end.
 const EXPECTED_OUTAGE: Millis = DRAW_LOOKAHEAD;
@@ -477,12 +480,7 @@
     bill.reservation = Some(match attempt {
         Ok(reservation) => reservation,
         Err(Shortage::Exhausted) => {
-            return Err(shortage_refusal(
-                Shortage::Exhausted,
-                &account.id,
-                max_cost,
-                None,
-            ));
+            return Err(exhausted(&account.id, max_cost));
         }
         Err(_) => wait_for_tokens(state, request, &account.id, max_cost).await?,
     });
@@ -493,13 +491,13 @@
 struct TokenWaiter<'a, P> {
     state: &'a State<P>,
     account: &'a ClientAccountId,
-    max_cost: Tokens,
+    id: WaiterId,
 }
 
 impl<P> Drop for TokenWaiter<'_, P> {
     fn drop(&mut self) {
         let mut allocations = self.state.allocations.borrow_mut();
-        allocations.remove_waiter(self.account, self.max_cost);
+        allocations.remove_claim(self.account, self.id);
     }
 }
 
@@ -509,12 +507,13 @@
     account: &ClientAccountId,
     max_cost: Tokens,
 ) -> Result<Reservation, Refusal> {
-    state.allocations.borrow_mut().add_waiter(account, max_cost);
-    let _waiter = TokenWaiter {
-        state,
-        account,
-        max_cost,
+    let claim = Claim {
+        rank: request.urgency(),
+        tokens: max_cost,
+        since: state.now(),
     };
+    let id = state.allocations.borrow_mut().add_claim(account, claim);
+    let _waiter = TokenWaiter { state, account, id };
     let wait = Millis::new(request.route.objective.get() / TOKEN_WAIT_DIVISOR);
     let until = (Instant::now() + wait.duration()).min(request.deadline);
     let draw_deadline = (Instant::now() + TYPICAL_DRAW_TIME.duration()).min(until);
@@ -522,19 +521,15 @@
         let changed = state.allocations_changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        let attempt = state
-            .allocations
-            .borrow_mut()
-            .reserve(account, max_cost, state.now());
+        let attempt =
+            state
+                .allocations
+                .borrow_mut()
+                .reserve_waiting(account, id, max_cost, state.now());
         let reason = match attempt {
             Ok(reservation) => return Ok(reservation),
             Err(Shortage::Exhausted) => {
-                return Err(shortage_refusal(
-                    Shortage::Exhausted,
-                    account,
-                    max_cost,
-                    None,
-                ));
+                return Err(exhausted(account, max_cost));
             }
             Err(reason) => reason,
         };
@@ -555,7 +550,9 @@
         };
         if tokio::time::timeout_at(wake_at, changed).await.is_err() && Instant::now() >= until {
             let outage = store_outage(state, account);
-            return Err(shortage_refusal(reason, account, max_cost, outage));
+            let is_short = state.allocations.borrow().is_short(account, state.now());
+            let refusal = shortage_refusal(reason, account, max_cost, outage, is_short);
+            return Err(refusal);
         }
     }
 }
@@ -567,19 +564,28 @@
     own.or_else(|| state.allocations.borrow().lender_outage(account, now))
 }
 
+fn exhausted(account: &ClientAccountId, max_cost: Tokens) -> Refusal {
+    shortage_refusal(Shortage::Exhausted, account, max_cost, None, true)
+}
+
 fn shortage_refusal(
     reason: Shortage,
     account: &ClientAccountId,
     max_cost: Tokens,
     outage: Option<Millis>,
+    is_short: bool,
 ) -> Refusal {
     let outage_ms = outage.map_or(0, Millis::get);
-    let detail =
-        format!("{max_cost} tokens of {account}: {reason:?}, store outage: {outage_ms} ms");
-    let base = outage.map_or(RETRY_AFTER, |outage| {
-        let rest = EXPECTED_OUTAGE.saturating_sub(outage);
-        rest.max(RETRY_AFTER_OUTAGE)
-    });
+    let detail = format!(
+        "{max_cost} tokens of {account}: {reason:?}, store outage: {outage_ms} ms, short: {is_short}"
+    );
+    let base = match outage {
+        Some(outage) => EXPECTED_OUTAGE
+            .saturating_sub(outage)
+            .max(RETRY_AFTER_OUTAGE),
+        None if is_short => RETRY_AFTER_SHORT,
+        None => RETRY_AFTER,
+    };
     match reason {
         Shortage::Exhausted => Refusal::new(ErrorKind::BudgetExhausted, detail),
         Shortage::Drawable | Shortage::Elsewhere | Shortage::Unknown => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
 };
@@ -86,6 +86,8 @@
     pub answer_broken: Notify,
     /// Prepaid tokens allocated to this entry.
     pub allocations: RefCell<Allocations>,
+    /// Accounts that run short, as this entry expects as their owner.
+    pub short_accounts: RefCell<BTreeSet<ClientAccountId>>,
     /// Whether the store answers this entry.
     pub store_health: RefCell<StoreHealth>,
     /// Consecutive failed reads and writes of the shared records of prepaid tokens.
@@ -135,6 +137,7 @@
             unanswered_prompts: RefCell::default(),
             answer_broken: Notify::new(),
             allocations: RefCell::new(Allocations::new(settings.vm.clone(), incarnation)),
+            short_accounts: RefCell::default(),
             store_health: RefCell::default(),
             prepaid_failures: Cell::new(0),
             draw_requested: Notify::new(),
--- a/crates/gateway/tests/gateway/loan.rs
+++ b/crates/gateway/tests/gateway/loan.rs
@@ -11,6 +11,8 @@
 const EXHAUSTED: LoanRefusal = LoanRefusal {
     shortage: Shortage::Exhausted,
     store_outage: None,
+    left: None,
+    exhausted_total: None,
 };
 
 fn account() -> ClientAccountId {
@@ -62,6 +64,8 @@
         want: demand.want,
         should_draw: true,
         delivery: None,
+        rank: 0,
+        waited: Millis::ZERO,
     }
 }
 
--- a/crates/gateway/tests/gateway/prepaid_model.rs
+++ b/crates/gateway/tests/gateway/prepaid_model.rs
@@ -278,6 +278,8 @@
         want: Tokens::new(want),
         should_draw: true,
         delivery: Some(delivery),
+        rank: 0,
+        waited: Millis::ZERO,
     };
     let lent = match fate {
         Fate::Answered | Fate::ResponseLost => entries[from].allocations.lend(&request, now),
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -46,3 +46,7 @@
 /// Counter prefix: writes of prepaid records whose response was lost, by the outcome that the
 /// record shows.
 pub const PREPAID_WRITES_RESOLVED: &str = "prepaid_writes_resolved.";
+/// Gauge: accounts of this entry that soon run out of prepaid tokens.
+pub const PREPAID_SHORT_ACCOUNTS: &str = "prepaid_short_accounts";
+/// Counter: loans of an account that runs short, one request at a time.
+pub const PREPAID_LAST_LOANS: &str = "prepaid_last_loans";
--- a/crates/prepaid/src/allocation.rs
+++ b/crates/prepaid/src/allocation.rs
@@ -7,6 +7,7 @@
 use crate::{
     Record, RecordWrite, UnansweredReturn,
     delivery::LastMessages,
+    last_tokens::{self, Claim},
     loan::{Loan, RefusedLoan},
 };
 
@@ -19,6 +20,10 @@
 /// Owners hold tokens for the expected use in this time: outages of the store last up to 9 s.
 pub const DRAW_LOOKAHEAD: Millis = Millis::new(10_000);
 
+/// A request that waits for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaiterId(pub(crate) u64);
+
 /// Tokens of one account allocated to this entry.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Allocation {
@@ -28,8 +33,10 @@
     pub(crate) reserved: Tokens,
     /// The part of `reserved` that targets have already used: prompts of running requests.
     pub(crate) running: Tokens,
-    /// Tokens needed by each waiting request.
-    pub(crate) waiting: Vec<Tokens>,
+    /// The waiting requests of this entry, and the requests for loans that wait here.
+    pub(crate) waiting: Vec<(WaiterId, Claim)>,
+    /// Waiting requests that got tokens during a shortage.
+    pub(crate) turns: u64,
     /// When a request last found too few tokens.
     pub(crate) short_at: Option<Millis>,
     /// Why another entry last refused a loan.
@@ -75,7 +82,26 @@
 impl Allocation {
     /// Tokens that all waiting requests need together.
     pub(crate) fn total_waiting(&self) -> Tokens {
-        self.waiting.iter().copied().sum()
+        self.waiting.iter().map(|(_, claim)| claim.tokens).sum()
+    }
+
+    /// Tokens that the smallest waiting request needs.
+    pub(crate) fn smallest_waiting(&self) -> Option<Tokens> {
+        self.waiting.iter().map(|(_, claim)| claim.tokens).min()
+    }
+
+    /// Returns true if the free tokens serve the waiting request at its turn.
+    pub(crate) fn is_next(&self, waiter: WaiterId) -> bool {
+        let claims: Vec<Claim> = self.waiting.iter().map(|(_, claim)| *claim).collect();
+        let index = self.waiting.iter().position(|(id, _)| *id == waiter);
+        index.is_some_and(|index| last_tokens::is_served(index, self.free, &claims, self.turns))
+    }
+
+    /// Reserved tokens that running requests will probably not use.
+    pub(crate) fn expected_rest(&self) -> Tokens {
+        let unused = self.reserved.get() as f64 * (1.0 - self.used_fraction);
+        let unused = Tokens::new(unused as u64);
+        unused.min(self.reserved.saturating_sub(self.running))
     }
 
     /// Tokens that are not used yet.
--- a/crates/prepaid/src/lib.rs
+++ b/crates/prepaid/src/lib.rs
@@ -16,16 +16,20 @@
 
 mod allocation;
 mod delivery;
+pub mod last_tokens;
 mod loan;
 mod plan;
 mod record;
+mod shortage;
 
 use allocation::Allocation;
-pub use allocation::DRAW_LOOKAHEAD;
+pub use allocation::{DRAW_LOOKAHEAD, WaiterId};
 pub use delivery::{LoanDelivery, ReturnDelivery, UnansweredReturn};
+use last_tokens::Claim;
 pub use loan::{LoanRefusal, LoanReply, LoanRequest, TokenDemand, TokenReturn};
 pub use plan::{REREAD_AFTER, RecordWrite, Role};
 pub use record::{EndedHolder, EndedHolders, Holder, Record, WriteOutcome};
+pub use shortage::{Forecast, SHORTAGE_HORIZON};
 
 /// Tokens reserved for one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,6 +66,10 @@
     is_closed: bool,
     /// Number of the last message to another entry.
     messages: u64,
+    /// Accounts that run short as another entry has told, until when that holds.
+    told_short: BTreeMap<ClientAccountId, Millis>,
+    /// Number of requests that have waited.
+    waiters: u64,
 }
 
 impl Allocations {
@@ -74,6 +82,8 @@
             incarnations: BTreeMap::new(),
             is_closed: false,
             messages: 0,
+            told_short: BTreeMap::new(),
+            waiters: 0,
         }
     }
 
@@ -153,18 +163,48 @@
         now: Millis,
     ) -> Result<Reservation, Shortage> {
         let allocation = self.allocation(account);
-        if let Some(rest) = allocation.free.checked_sub(max_cost) {
-            allocation.free = rest;
-            allocation.reserved += max_cost;
-            return Ok(Reservation {
-                account: account.clone(),
-                tokens: max_cost,
-            });
+        // During a shortage the waiting requests come first, in the order of `last_tokens`.
+        let has_queue = !allocation.waiting.is_empty() && self.is_short(account, now);
+        if !has_queue && let Some(reservation) = self.take(account, max_cost) {
+            return Ok(reservation);
         }
-        allocation.short_at = Some(now);
+        self.allocation(account).short_at = Some(now);
         Err(self.shortage(account, max_cost, now))
     }
 
+    /// Reserves the maximum cost of a request that waits. During a shortage it gets tokens only when
+    /// it is its turn.
+    ///
+    /// # Errors
+    /// The reason why this entry lacks the tokens.
+    pub fn reserve_waiting(
+        &mut self,
+        account: &ClientAccountId,
+        waiter: WaiterId,
+        max_cost: Tokens,
+        now: Millis,
+    ) -> Result<Reservation, Shortage> {
+        let is_short = self.is_short(account, now);
+        let allocation = self.allocation(account);
+        let is_next = !is_short || allocation.is_next(waiter);
+        if is_next && let Some(reservation) = self.take(account, max_cost) {
+            self.allocation(account).turns += u64::from(is_short);
+            return Ok(reservation);
+        }
+        self.allocation(account).short_at = Some(now);
+        Err(self.shortage(account, max_cost, now))
+    }
+
+    fn take(&mut self, account: &ClientAccountId, max_cost: Tokens) -> Option<Reservation> {
+        let allocation = self.allocation(account);
+        allocation.free = allocation.free.checked_sub(max_cost)?;
+        allocation.reserved += max_cost;
+        Some(Reservation {
+            account: account.clone(),
+            tokens: max_cost,
+        })
+    }
+
     /// Adds `tokens` of a reservation to those already used by running requests, or removes them
     /// once the request has ended or is known not to have run.
     pub fn set_running(&mut self, reservation: &Reservation, tokens: Tokens, is_running: bool) {
@@ -185,20 +225,38 @@
         allocation.record_use(used, now);
     }
 
-    /// Registers a request that waits for `max_cost` tokens.
+    /// Registers a request that waits for tokens, until it is removed.
+    pub fn add_claim(&mut self, account: &ClientAccountId, claim: Claim) -> WaiterId {
+        self.waiters += 1;
+        let id = WaiterId(self.waiters);
+        self.allocation(account).waiting.push((id, claim));
+        id
+    }
+
+    /// Removes a request that [`add_claim`](Self::add_claim) registered.
+    pub fn remove_claim(&mut self, account: &ClientAccountId, waiter: WaiterId) {
+        let waiting = &mut self.allocation(account).waiting;
+        waiting.retain(|(id, _)| *id != waiter);
+    }
+
+    /// Registers a request of the first rank that waits for `max_cost` tokens.
     pub fn add_waiter(&mut self, account: &ClientAccountId, max_cost: Tokens) {
-        self.allocation(account).waiting.push(max_cost);
+        let claim = Claim {
+            rank: 0,
+            tokens: max_cost,
+            since: Millis::ZERO,
+        };
+        self.add_claim(account, claim);
     }
 
     /// Removes a request that [`add_waiter`](Self::add_waiter) registered.
     pub fn remove_waiter(&mut self, account: &ClientAccountId, max_cost: Tokens) {
-        let allocation = self.allocation(account);
-        if let Some(index) = allocation
-            .waiting
+        let waiting = &mut self.allocation(account).waiting;
+        let index = waiting
             .iter()
-            .position(|waiting| *waiting == max_cost)
-        {
-            allocation.waiting.swap_remove(index);
+            .position(|(_, claim)| claim.tokens == max_cost);
+        if let Some(index) = index {
+            waiting.remove(index);
         }
     }
 
@@ -225,7 +283,7 @@
             return Shortage::Unknown;
         };
         let refused = allocation.refused_loan(now);
-        if refused.is_some_and(|refused| refused.is_exhausted_for(max_cost)) {
+        if refused.is_some_and(|refused| refused.is_exhausted_for(max_cost, allocation)) {
             return Shortage::Exhausted;
         }
         let (Some((_, record)), Some(paid)) = (&allocation.last_record, allocation.paid) else {
@@ -241,16 +299,29 @@
         if left + allocation.free >= max_cost {
             return Shortage::Drawable;
         }
-        let elsewhere = self.held_elsewhere(record) + allocation.expected_returns(now);
         let is_certain = now.saturating_sub(allocation.read_at) <= REREAD_AFTER
             || self.is_exhausted_for_good(allocation);
-        if left + allocation.unspent() + elsewhere >= max_cost || !is_certain {
+        if self.obtainable(allocation, record, paid, now) >= max_cost || !is_certain {
             Shortage::Elsewhere
         } else {
             Shortage::Exhausted
         }
     }
 
+    /// Tokens of the account that requests of this entry can still get: undrawn ones, its own, and
+    /// what running requests and other entries will probably not use.
+    fn obtainable(
+        &self,
+        allocation: &Allocation,
+        record: &Record,
+        paid: Tokens,
+        now: Millis,
+    ) -> Tokens {
+        let left = paid.saturating_sub(record.drawn);
+        let elsewhere = self.held_elsewhere(record) + allocation.expected_returns(now);
+        left + allocation.free + allocation.expected_rest() + elsewhere
+    }
+
     /// Returns true if the record shows that all tokens are drawn and no other entry has any that it
     /// could return, so that only a top-up can change that.
     fn is_exhausted_for_good(&self, allocation: &Allocation) -> bool {
--- a/crates/prepaid/src/loan.rs
+++ b/crates/prepaid/src/loan.rs
@@ -8,7 +8,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{Allocation, Allocations, LoanDelivery, ReturnDelivery, Role, Shortage};
+use crate::{
+    Allocation, Allocations, LoanDelivery, ReturnDelivery, Role, Shortage,
+    last_tokens::{self, Claim},
+};
 
 /// A loan to a borrower that often uses the account covers this much further use, so that not every
 /// request needs a loan of its own. Tokens that borrowers hold serve no request elsewhere, and are
@@ -19,6 +22,8 @@
 /// Divisor of the prepaid total: idle tokens that all borrowers together may keep because returning
 /// them is not worth a message.
 const IDLE_DIVISOR: u64 = 200;
+/// Divisor of the prepaid total: idle tokens that one borrower may keep during a shortage.
+const SHORT_IDLE_DIVISOR: u64 = 100_000;
 /// Divisor of the smallest useful loan; lending less than this fraction is not worth a message.
 const MIN_LOAN_DIVISOR: u64 = 8;
 /// Time constant with which borrowers are assumed to use up a loan.
@@ -27,6 +32,9 @@
 const ACTING_OWNER_TERM: Millis = Millis::new(3_000);
 /// How long the reason of a refused loan counts as known.
 const LOAN_REFUSAL_TTL: Millis = Millis::new(1_000);
+/// The same if only a top-up can help; that ends it at once. Bounds the loan requests for an
+/// exhausted account.
+const EXHAUSTED_TTL: Millis = Millis::new(5_000);
 
 /// Tokens of an account that waiting requests of this entry lack.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,6 +66,23 @@
     /// Identifies the request, so that a loan whose reply was lost goes back to the lender.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub delivery: Option<LoanDelivery>,
+    /// Rank of the most urgent waiting request.
+    #[serde(default)]
+    pub rank: u8,
+    /// How long the borrower's first request has waited.
+    #[serde(default)]
+    pub waited: Millis,
+}
+
+impl LoanRequest {
+    /// The claim of the borrower's smallest waiting request.
+    pub fn claim(&self, now: Millis) -> Claim {
+        Claim {
+            rank: self.rank,
+            tokens: self.least,
+            since: now.saturating_sub(self.waited),
+        }
+    }
 }
 
 /// Response to a [`LoanRequest`].
@@ -70,6 +95,15 @@
     /// How long the store has not answered the lender, if it does not.
     #[serde(default)]
     pub store_outage: Option<Millis>,
+    /// The lender expects that the account soon runs out of tokens.
+    #[serde(default)]
+    pub is_short: bool,
+    /// Tokens that requests of all entries can still get, if the lender knows.
+    #[serde(default)]
+    pub left: Option<Tokens>,
+    /// The prepaid total that is used up, if only a top-up can change that.
+    #[serde(default)]
+    pub exhausted_total: Option<Tokens>,
 }
 
 /// Why another entry refused a loan.
@@ -79,6 +113,10 @@
     pub shortage: Shortage,
     /// How long the store has not answered the lender, if it does not.
     pub store_outage: Option<Millis>,
+    /// Tokens that requests of all entries can still get, if the lender knows.
+    pub left: Option<Tokens>,
+    /// The prepaid total that is used up, if only a top-up can change that.
+    pub exhausted_total: Option<Tokens>,
 }
 
 /// The last refusal of a loan for an account.
@@ -92,16 +130,26 @@
 
 impl RefusedLoan {
     /// Returns true if the lender knew that fewer than `max_cost` tokens are left.
-    pub(crate) fn is_exhausted_for(self, max_cost: Tokens) -> bool {
-        self.refusal.shortage == Shortage::Exhausted && max_cost >= self.max_cost
+    pub(crate) fn is_exhausted_for(self, max_cost: Tokens, allocation: &Allocation) -> bool {
+        let left = self
+            .refusal
+            .left
+            .map(|left| left + allocation.free + allocation.expected_rest());
+        let is_covered = max_cost < self.max_cost && left.is_none_or(|left| max_cost <= left);
+        self.refusal.shortage == Shortage::Exhausted && !is_covered
     }
 }
 
 impl Allocation {
     /// The last refusal of a loan, unless it is too old to tell anything.
     pub(crate) fn refused_loan(&self, now: Millis) -> Option<RefusedLoan> {
-        self.refused_loan
-            .filter(|refused| now.saturating_sub(refused.at) < LOAN_REFUSAL_TTL)
+        let refused = self.refused_loan?;
+        let total = refused.refusal.exhausted_total;
+        let ttl = match total.is_some() && total == self.paid {
+            true => EXHAUSTED_TTL,
+            false => LOAN_REFUSAL_TTL,
+        };
+        (now.saturating_sub(refused.at) < ttl).then_some(refused)
     }
 }
 
@@ -148,7 +196,7 @@
     /// both entries lack tokens, the entry that lacks fewer gets them, so that remainders
     /// accumulate on one entry.
     fn spare(&self, least: Tokens) -> Tokens {
-        let smallest = self.waiting.iter().min().copied().unwrap_or_default();
+        let smallest = self.smallest_waiting().unwrap_or_default();
         let lack = smallest.saturating_sub(self.free);
         if lack > least {
             self.free
@@ -157,6 +205,23 @@
         }
     }
 
+    /// Tokens lent during a shortage: what the waiting requests of the borrower lack, if it is its
+    /// turn among the requests that wait here, and nothing in advance.
+    fn last_loan(&self, request: &LoanRequest, now: Millis) -> Tokens {
+        let claim = request.claim(now);
+        let mut claims: Vec<Claim> = self.waiting.iter().map(|(_, claim)| *claim).collect();
+        claims.push(claim);
+        let index = claims.len() - 1;
+        if !last_tokens::is_served(index, self.free, &claims, self.turns) {
+            return Tokens::ZERO;
+        }
+        let others = self.total_waiting();
+        request
+            .want
+            .min(self.free.saturating_sub(others))
+            .max(request.least)
+    }
+
     /// Tokens that a borrower holds in advance for its expected use in `span`. None if that is less
     /// than one request: an entry that seldom uses an account would hold them idle.
     fn float(&self, span: Millis, now: Millis) -> Tokens {
@@ -167,13 +232,23 @@
         }
     }
 
-    fn demand(&self, account: &ClientAccountId, now: Millis) -> Option<TokenDemand> {
-        let least = self.waiting.iter().min()?.saturating_sub(self.free);
+    fn demand(
+        &self,
+        account: &ClientAccountId,
+        is_short: bool,
+        now: Millis,
+    ) -> Option<TokenDemand> {
+        let least = self.smallest_waiting()?.saturating_sub(self.free);
         let lack = self.total_waiting().saturating_sub(self.free);
+        // During a shortage nothing is lent in advance: it would be missed elsewhere.
+        let float = match is_short {
+            true => Tokens::ZERO,
+            false => self.float(LOAN_LOOKAHEAD, now),
+        };
         (!lack.is_zero()).then(|| TokenDemand {
             account: account.clone(),
             least,
-            want: lack + self.float(LOAN_LOOKAHEAD, now),
+            want: lack + float,
         })
     }
 }
@@ -182,15 +257,15 @@
 impl Allocations {
     /// Tokens that waiting requests lack, for each account.
     pub fn demands(&self, now: Millis) -> Vec<TokenDemand> {
-        let allocations = self.by_account.iter();
-        let demands =
-            allocations.filter_map(|(account, allocation)| allocation.demand(account, now));
+        let accounts = self.by_account.keys();
+        let demands = accounts.filter_map(|account| self.demand(account, now));
         demands.collect()
     }
 
     /// Tokens that waiting requests of one account lack, if any.
     pub fn demand(&self, account: &ClientAccountId, now: Millis) -> Option<TokenDemand> {
-        self.by_account.get(account)?.demand(account, now)
+        let is_short = self.is_short(account, now);
+        self.by_account.get(account)?.demand(account, is_short, now)
     }
 
     /// Entries that may hold tokens of an account, those with most first: holders according to the
@@ -219,6 +294,8 @@
     /// reach the smallest useful loan, all that this entry can spare. A fraction of the smallest
     /// useful loan is lent too if it is worth a message, because the borrower asks several entries.
     pub fn lend(&mut self, request: &LoanRequest, now: Millis) -> Tokens {
+        // Only the entry that draws decides who gets the last tokens; any other one helps.
+        let is_short = request.should_draw && self.is_short(&request.account, now);
         let Some(allocation) = self.by_account.get_mut(&request.account) else {
             return Tokens::ZERO;
         };
@@ -235,14 +312,17 @@
         }
         let half = Tokens::new(allocation.free.get() / 2);
         let spare = allocation.spare(request.least);
-        let given = if half >= request.least {
+        let given = if is_short {
+            allocation.last_loan(request, now)
+        } else if half >= request.least {
             request.want.min(half)
         } else {
             request.least.min(spare)
         };
-        if given.get() < request.least.get() / MIN_LOAN_DIVISOR {
+        if given.is_zero() || given.get() < request.least.get() / MIN_LOAN_DIVISOR {
             return Tokens::ZERO;
         }
+        allocation.turns += u64::from(is_short);
         allocation.free = allocation.free.saturating_sub(given);
         if let Some(messages) = allocation.last_messages.get_mut(&request.from) {
             messages.record_lent(given);
@@ -312,28 +392,81 @@
         role: impl Fn(&ClientAccountId) -> Role,
         entries: usize,
         now: Millis,
+    ) -> Vec<(ClientAccountId, Tokens)> {
+        let accounts = self.by_account.keys().cloned();
+        self.surplus_of(accounts.collect(), role, entries, now)
+    }
+
+    /// The same for the accounts that run short as another entry has told.
+    pub fn return_surplus_of_short(
+        &mut self,
+        role: impl Fn(&ClientAccountId) -> Role,
+        entries: usize,
+        now: Millis,
+    ) -> Vec<(ClientAccountId, Tokens)> {
+        let accounts = self.told_short.keys().cloned();
+        self.surplus_of(accounts.collect(), role, entries, now)
+    }
+
+    fn surplus_of(
+        &mut self,
+        accounts: Vec<ClientAccountId>,
+        role: impl Fn(&ClientAccountId) -> Role,
+        entries: usize,
+        now: Millis,
     ) -> Vec<(ClientAccountId, Tokens)> {
         let divisor = IDLE_DIVISOR * entries.max(1) as u64;
         let mut given = Vec::new();
-        for (account, allocation) in &mut self.by_account {
+        for account in accounts {
+            let is_short = self.is_told_short(&account, now);
+            let is_closed = self.is_closed;
+            let Some(allocation) = self.by_account.get_mut(&account) else {
+                continue;
+            };
             if allocation.free.is_zero()
                 || allocation.pending.is_some()
                 || allocation.has_unanswered_return()
-                || role(account) != Role::Borrower
+                || role(&account) != Role::Borrower
             {
                 continue;
             }
-            let needed = allocation.total_waiting() + allocation.float(BORROWER_LOOKAHEAD, now);
-            let surplus = match self.is_closed {
+            let float = match is_short {
+                true => Tokens::ZERO,
+                false => allocation.float(BORROWER_LOOKAHEAD, now),
+            };
+            let needed = allocation.total_waiting() + float;
+            let surplus = match is_closed {
                 true => allocation.free,
                 false => allocation.free.saturating_sub(needed),
             };
             let paid = allocation.paid.unwrap_or_default();
-            if self.is_closed || surplus.get() > paid.get() / divisor {
+            let divisor = match is_short {
+                true => SHORT_IDLE_DIVISOR,
+                false => divisor,
+            };
+            if is_closed || surplus.get() > paid.get() / divisor {
                 allocation.free = allocation.free.saturating_sub(surplus);
-                given.push((account.clone(), surplus));
+                given.push((account, surplus));
             }
         }
         given
     }
+
+    /// Returns true if a loan for the request can be granted at once.
+    pub fn can_lend(&self, request: &LoanRequest, now: Millis) -> bool {
+        let Some(allocation) = self.by_account.get(&request.account) else {
+            return false;
+        };
+        match request.should_draw && self.is_short(&request.account, now) {
+            true => !allocation.last_loan(request, now).is_zero(),
+            false => allocation.free >= request.least,
+        }
+    }
+
+    /// The waiting request of an account that comes first.
+    pub fn first_claim(&self, account: &ClientAccountId) -> Option<Claim> {
+        let waiting = &self.by_account.get(account)?.waiting;
+        let claims = waiting.iter().map(|(_, claim)| *claim);
+        claims.min_by_key(|claim| (claim.rank, claim.tokens, claim.since))
+    }
 }
