--- a/crates/balance/tests/balance.rs
+++ b/crates/balance/tests/balance.rs
@@ -2,6 +2,8 @@
 
 #[path = "balance/choose.rs"]
 mod choose;
+#[path = "balance/service.rs"]
+mod service;
 #[path = "balance/speed.rs"]
 mod speed;
 #[path = "balance/timely.rs"]
