Shared parts stay on the targets that have them cached

Change: a cost for the time in which shared parts are prefilled again, and queued requests count as occupied slots, so that a full target loses to one that has to read the parts.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -109,6 +109,12 @@
 }
 
 impl PromptInput<'_> {
+    /// Tokens of the parts that no other request has in common.
+    pub fn unshared_tokens(&self) -> u64 {
+        let shared: u64 = self.shared.iter().map(|part| part.tokens.get()).sum();
+        self.input.saturating_sub(shared)
+    }
+
     /// Estimates the tokens that a target has to prefill if it has this many leading shared parts
     /// cached, or this fraction of all.
     pub fn uncached_tokens(&self, cached_parts: usize, affinity: f64) -> u64 {
--- a/crates/balance/src/timely.rs
+++ b/crates/balance/src/timely.rs
@@ -41,6 +41,9 @@
 const HARM: f64 = 0.1;
 /// Cost of a millisecond of an idle target's time.
 const WORK_COST: f64 = 0.0005;
+/// Cost of a millisecond in which a target prefills a shared part again that another one has cached: it
+/// also evicts other parts from the cache.
+const REPREFILL_COST: f64 = 0.005;
 /// Cost of the whole objective spent waiting for the first event.
 const WAIT_COST: f64 = 0.2;
 /// Cost of the last slot of a target.
@@ -242,14 +245,17 @@
         let paused = self.pause_risk(request, workload);
         let harm = HARM * self.harm(uncached as f64, workload);
         let free = 1.0 - self.prefill_fraction();
-        let work_ms = uncached as f64 * self.speed.ms_per_token * self.pace.usual;
-        let work = WORK_COST * work_ms / (free * free);
-        let filled = (self.load.running + 1.0) / f64::from(self.slots.max(1));
+        let token_ms = self.speed.ms_per_token * self.pace.usual;
+        let work = WORK_COST * uncached as f64 * token_ms / (free * free);
+        let again = uncached.saturating_sub(request.prompt.unshared_tokens());
+        let reprefill = REPREFILL_COST * again as f64 * token_ms;
+        let requests = self.load.running + self.load.waiting + 1.0;
+        let filled = requests / f64::from(self.slots.max(1));
         let full = FULL_COST * filled.powi(3);
         let memory = self.memory_fraction + self.own_memory_fraction - USABLE_MEMORY;
         let memory = MEMORY_COST * (memory / (1.0 - USABLE_MEMORY)).clamp(0.0, 2.0);
         let zone = if self.is_same_zone { 0.0 } else { ZONE_COST };
-        let cost = late + wait + paused + harm + work + full + memory + zone;
+        let cost = late + wait + paused + harm + work + reprefill + full + memory + zone;
         (cost, estimate, uncached)
     }
 }
