Overload of an entry by its callers: crate cyc-intake and wiring

Cause: an entry with a small link stays in rotation while one account fills it; its answers, peer calls and store calls are late. Change: crate cyc-intake (link, accounts, readiness, admission), wired in the gateway; limits.linkMbps of the settings file. Without it nothing changes.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::{fmt, io, net::SocketAddr, rc::Rc};
 
 use cyc_evac::Evacuations;
+use cyc_intake::LinkRate;
 use cyc_obs::Metrics;
 use cyc_types::{AvailabilityZone, Millis, VmId};
 use tokio::{
@@ -45,6 +46,9 @@
     /// Time within which the load leaves an evacuated zone, counted from the store's
     /// acknowledgement; without it evacuations are not read.
     pub evacuation: Option<Millis>,
+    /// Capacity of the link of the VM; without it this entry does not notice that its callers overload
+    /// it.
+    pub link: Option<LinkRate>,
     /// Time from the shutdown signal until the platform kills the process.
     pub grace: Millis,
 }
--- /dev/null
+++ b/crates/gateway/src/intake.rs
@@ -0,0 +1,131 @@
+//! Applies what the crate `cyc-intake` decides about an overload of this entry.
+
+use cadence::CountedExt as _;
+use cyc_intake::{Arrival, Change, Direction, Intake};
+use cyc_types::{ErrorKind, Millis, Refusal};
+use http::header;
+
+use crate::{
+    config::{Account, Route},
+    proxy::retry_after,
+    state::State,
+};
+
+/// Estimated size of the head of a request or response.
+const HEAD_BYTES: u64 = 512;
+
+impl<P> State<P> {
+    /// Calls `f` if the capacity of the link is known, and logs what has changed.
+    fn with_intake<R>(&self, f: impl FnOnce(&mut Intake, Millis) -> R) -> Option<R> {
+        let mut intake = self.intake.borrow_mut();
+        let intake = intake.as_mut()?;
+        let result = f(intake, self.now());
+        for change in intake.take_changes() {
+            self.log_load(&change);
+        }
+        Some(result)
+    }
+
+    fn log_load(&self, change: &Change) {
+        match change {
+            Change::Overloaded(utilization) => {
+                self.metrics.incr(cyc_obs::names::ENTRY_OVERLOADS).ok();
+                spdlog::warn!("entry_overloaded", kv: {
+                    link_percent = (utilization * 100.0) as u64,
+                    in_flight = self.in_flight.get(),
+                });
+            }
+            Change::Recovered(after) => {
+                spdlog::info!("entry_recovered", kv: { after_ms = after.get() });
+            }
+            Change::Left(account) => {
+                self.metrics.incr(cyc_obs::names::ENTRY_ABSENCES).ok();
+                spdlog::warn!("entry_not_ready", kv: {
+                    account = account.as_str(),
+                    running = self.entries(),
+                });
+            }
+            Change::Returned(reason, away) => spdlog::info!("entry_ready", kv: {
+                reason = reason.to_string(),
+                after_ms = away.get(),
+            }),
+        }
+    }
+
+    /// Records the body of a message that was received or sent, with its head.
+    pub fn record_message(&self, direction: Direction, body: usize) {
+        self.record_bytes(direction, HEAD_BYTES + body as u64);
+    }
+
+    /// Records a part of a body that was received or sent.
+    pub fn record_bytes(&self, direction: Direction, bytes: u64) {
+        if let Some(intake) = self.intake.borrow_mut().as_mut() {
+            intake.record_bytes(direction, bytes);
+        }
+    }
+
+    /// Records a new connection of a caller.
+    pub fn record_connection(&self) {
+        self.with_intake(|intake, now| intake.record_connection(now));
+    }
+
+    /// Records how long it took to open a connection that was begun at this time.
+    pub fn record_connect(&self, begun: Millis) {
+        self.with_intake(|intake, now| intake.record_delay(now.saturating_sub(begun), now));
+    }
+
+    /// Returns true if the load lets the platform route callers to this entry.
+    pub fn is_open(&self) -> bool {
+        let entries = self.entries();
+        self.with_intake(|intake, now| intake.is_ready(entries, now))
+            .unwrap_or(true)
+    }
+
+    /// Decides whether a response closes the connection of the caller, who then reaches another entry.
+    pub fn sheds_connection(&self) -> bool {
+        let random = rand::random();
+        let closes = self.with_intake(|intake, now| intake.closes_connection(random, now));
+        let closes = closes.unwrap_or(false);
+        if closes {
+            self.metrics.incr(cyc_obs::names::OVERLOAD_CLOSES).ok();
+        }
+        closes
+    }
+
+    /// Refuses a request that the link of this entry cannot carry in time.
+    ///
+    /// # Errors
+    /// The refusal, which names the expected wait.
+    pub fn admit_load(
+        &self,
+        head: &http::request::Parts,
+        route: &Route,
+        account: Option<&Account>,
+    ) -> Result<(), Refusal> {
+        let length = head.headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+        let bytes = HEAD_BYTES.saturating_add(length.unwrap_or(0));
+        let name = account.map_or_else(Default::default, |account| account.id.as_str().into());
+        let urgency = account.and_then(|account| account.priority);
+        let arrival = Arrival {
+            account: &name,
+            urgency: urgency.unwrap_or(route.priority),
+            bytes,
+            objective: route.objective,
+        };
+        let admitted = self.with_intake(|intake, now| intake.admit(&arrival, now));
+        let Some(Err(rejection)) = admitted else {
+            return Ok(());
+        };
+        // The body is on its way.
+        self.record_bytes(Direction::In, bytes);
+        self.metrics.incr(cyc_obs::names::OVERLOAD_REFUSALS).ok();
+        let detail = format!(
+            "the link of this entry is full: {} ms of requests wait, exceeds_usual_share={}",
+            rejection.wait.get(),
+            rejection.is_excess
+        );
+        Err(Refusal::new(ErrorKind::Overloaded, detail)
+            .with_retry_after(retry_after(rejection.retry_after)))
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Modules that decide without I/O: [`config`] selects the route and the account, [`member`] lists
 //! the targets, [`peers`] the running entries, [`store_health`] whether the store answers, [`prepaid`] manages prepaid tokens, [`fleet`] tracks
 //! the state of each target, [`group`] and [`affinity`] narrow the choice of a large service,
-//! [`choose`] selects a target, [`crash`] refuses prompts that crash targets, [`news`] spreads what
+//! [`choose`] selects a target, [`intake`] applies what an overloaded entry decides, [`crash`] refuses prompts that crash targets, [`news`] spreads what
 //! one entry has learnt to the others, [`retry_budget`] limits retries, and
 //! [`event`] splits event streams. [`proxy`] takes a request through them, [`stream`] relays the
 //! response, [`control`] maintains the state, and [`port`] contains the traits for the protocol and
@@ -22,6 +22,7 @@
 pub mod event;
 pub mod fleet;
 pub mod group;
+pub mod intake;
 pub mod limit;
 pub mod member;
 pub mod news;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cadence::{CountedExt as _, Timed as _};
+use cyc_intake::Direction;
 use cyc_types::{ClientAccountId, ErrorKind, Millis, Refusal, ServiceId, TargetId, Tokens};
 use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -333,6 +334,7 @@
     let (head, body) = req.into_parts();
     let request = admit(state, head, arrived, log)?;
     let request = read_body(request, body).await?;
+    state.record_message(Direction::In, request.body.len());
     let bill = reserve(state, &request).await?;
     let mut attempts = Attempts::new(state.clone(), request, bill, log.clone());
     let response = attempts.next_response(None).await;
@@ -383,6 +385,7 @@
         return Err(Refusal::new(ErrorKind::Draining, detail)
             .with_retry_after(retry_after(RETRY_AFTER_SHUTDOWN)));
     }
+    state.admit_load(&head, route, account.map(|account| &**account))?;
     let is_probe = admit_prompt(state, &call)?;
     Ok(AdmittedRequest {
         is_probe,
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cadence::CountedExt as _;
+use cyc_intake::Direction;
 use cyc_signal::ServiceWait;
 use cyc_types::{ErrorKind, Millis, Refusal, TargetId};
 use http::{Request, Response, StatusCode, Uri, response};
@@ -489,10 +490,14 @@
         };
         let attempt =
             ActiveAttempt::new(self.state.clone(), incarnation, choice, &self.request.call);
+        let begun = self.state.now();
         let mut conn = match pool.take_idle() {
             Some(conn) => conn,
             None => match pool.connect().await {
-                Ok(conn) => conn,
+                Ok(conn) => {
+                    self.state.record_connect(begun);
+                    conn
+                }
                 Err(error) => {
                     attempt.end(Verdict::NotReached);
                     return Err(AttemptError::NotSent(error.to_string()));
@@ -521,6 +526,8 @@
             retry_budget.record_first_attempt(&self.request.service, self.state.now());
         }
         self.sends += 1;
+        self.state
+            .record_message(Direction::Out, self.request.body.len());
         self.update_log(&mut self.progress.borrow_mut());
         // From here on the target may run the request, even if the caller disconnects.
         self.bill.start_run();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -40,6 +40,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                state.record_connection();
                 let state = state.clone();
                 tokio::task::spawn_local(serve_caller(state, stream));
             }
@@ -68,7 +69,7 @@
             let state = state.clone();
             async move {
                 let mut response = proxy::serve(state.clone(), req).await;
-                if state.is_stopping() {
+                if state.is_stopping() || state.sheds_connection() {
                     let close = http::HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 };
 
 use cadence::CountedExt as _;
+use cyc_intake::Intake;
 use cyc_obs::Metrics;
 use cyc_signal::Signals;
 use cyc_types::{ClientAccountId, Clock, Millis, PerSecond, TargetId, VmId};
@@ -132,6 +133,8 @@
     pub loan_requested: Notify,
     /// Notified when the allocations change.
     pub allocations_changed: Notify,
+    /// Overload of this entry by its callers; `None` if the capacity of its link is not known.
+    pub intake: RefCell<Option<Intake>>,
     /// Retry budget.
     pub retry_budget: RefCell<RetryBudget>,
     /// The shutdown in progress, if any.
@@ -178,6 +181,7 @@
             heartbeat_requested: Notify::new(),
             loan_requested: Notify::new(),
             allocations_changed: Notify::new(),
+            intake: RefCell::new(settings.link.map(Intake::new)),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_budget)),
             stopping: watch::Sender::new(None),
             in_flight: Cell::new(0),
@@ -198,6 +202,9 @@
             self.ticked_at.set(Some(now));
             self.resumed_at.set(now);
             self.fleet.borrow_mut().resume(now);
+            if let Some(intake) = self.intake.borrow_mut().as_mut() {
+                intake.resume(now);
+            }
             spdlog::warn!("process_resumed", kv: {
                 frozen_ms = since.map_or(0, |since| since.get()),
             });
@@ -207,7 +214,7 @@
     /// Returns true if the platform may route callers to this entry.
     pub fn is_ready(&self) -> bool {
         let has_read = self.targets_loaded.get() && self.evacuations_loaded.get();
-        self.config.borrow().is_some() && has_read && !self.is_stopping()
+        self.config.borrow().is_some() && has_read && !self.is_stopping() && self.is_open()
     }
 
     /// Returns true once the shutdown signal has arrived.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,6 +1,7 @@
 //! Relay of responses to callers: buffered bodies, and event streams event by event.
 
 use bytes::{Bytes, BytesMut};
+use cyc_intake::Direction;
 use cyc_types::{ErrorKind, Refusal};
 use futures::stream;
 use http::{HeaderMap, HeaderName, Response, StatusCode, header};
@@ -106,7 +107,13 @@
     attempt.record_prefilled(&attempts.request);
     let read = Limited::new(body, MAX_BODY_BYTES).collect();
     let body = match tokio::time::timeout_at(attempts.request.deadline, read).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => {
+            let body = body.to_bytes();
+            for direction in [Direction::In, Direction::Out] {
+                attempts.state.record_message(direction, body.len());
+            }
+            body
+        }
         Ok(Err(error)) => {
             attempts.bill.record_broken(attempt.target());
             attempt.end(Verdict::Failed);
@@ -253,6 +260,10 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    for direction in [Direction::In, Direction::Out] {
+                        let state = &self.attempts.state;
+                        state.record_bytes(direction, data.len() as u64);
+                    }
                     if self.splitter.push(&data).is_err() {
                         return StreamRead::Broken("an event is too long".into());
                     }
--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -60,3 +60,11 @@
 /// Counter: requests not sent to their target after it was chosen, because of what it had announced
 /// meanwhile.
 pub const SENDS_WITHHELD: &str = "sends_withheld";
+/// Counter: overloads of this entry by its callers.
+pub const ENTRY_OVERLOADS: &str = "entry_overloads";
+/// Counter: how often this entry left the rotation because of an overload.
+pub const ENTRY_ABSENCES: &str = "entry_absences";
+/// Counter: requests refused because the link of this entry is full.
+pub const OVERLOAD_REFUSALS: &str = "overload_refusals";
+/// Counter: connections of callers closed because the link of this entry is full.
+pub const OVERLOAD_CLOSES: &str = "overload_closes";
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backoff;
 pub mod clock;
+pub mod decay;
 pub mod error;
 pub mod hash;
 pub mod id;
@@ -13,6 +14,7 @@
 
 pub use backoff::Backoff;
 pub use clock::{Clock, Millis};
+pub use decay::DecayingSum;
 pub use error::{ErrorKind, Outcome, Refusal};
 pub use id::{
     AvailabilityZone, BudgetId, ClientAccountId, IdempotencyKey, Incarnation, ModelId, RequestId,
