--- a/crates/intake/src/accounts.rs
+++ b/crates/intake/src/accounts.rs
@@ -33,9 +33,11 @@
 }
 
 impl Usage {
-    fn add(&mut self, bytes: f64, now: Millis) {
+    fn add(&mut self, bytes: f64, is_usual: bool, now: Millis) {
         self.short.add(bytes, SHORT_TIME, now);
-        self.long.add(bytes, LONG_TIME, now);
+        if is_usual {
+            self.long.add(bytes, LONG_TIME, now);
+        }
     }
 
     fn get(&self, now: Millis) -> (f64, f64) {
@@ -56,9 +58,10 @@
 }
 
 impl Accounts {
-    /// Records a request of this many bytes, also if it is refused.
-    pub fn record(&mut self, account: &SmolStr, bytes: u64, now: Millis) {
-        self.total.add(bytes as f64, now);
+    /// Records a request of this many bytes, also if it is refused. One that arrives during an overload is
+    /// not usual: the account that causes it would soon have its excess taken for its usual load.
+    pub fn record(&mut self, account: &SmolStr, bytes: u64, is_usual: bool, now: Millis) {
+        self.total.add(bytes as f64, is_usual, now);
         let is_full = self.usages.len() >= MAX_ACCOUNTS && !self.usages.contains_key(account);
         let is_due = now.saturating_sub(self.searched_at) >= FORGET_INTERVAL;
         if is_full && is_due {
@@ -70,7 +73,8 @@
             true => account.clone(),
             false => SmolStr::default(),
         };
-        self.usages.entry(name).or_default().add(bytes as f64, now);
+        let usage = self.usages.entry(name).or_default();
+        usage.add(bytes as f64, is_usual, now);
     }
 
     /// Returns true if the next request of the account exceeds its usual share. Of the requests of an
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -15,6 +15,8 @@
 const MOST_REFUSED_IN_ROW: u32 = 19;
 /// Most bytes that pass the link for each byte of a request; larger answers cannot be predicted.
 const MAX_BYTES_FACTOR: f64 = 16.0;
+/// After an overload of this length the load counts as usual.
+const USUAL_AFTER: Millis = Millis::MINUTE;
 /// Least time until a refused caller may return. It reaches another entry, which may serve it at once.
 const LEAST_RETRY: Millis = Millis::new(50);
 
@@ -199,7 +201,11 @@
     pub fn admit(&mut self, arrival: &Arrival<'_>, now: Millis) -> Result<(), Rejection> {
         self.evaluate(now);
         self.drain(now);
-        self.accounts.record(arrival.account, arrival.bytes, now);
+        let overloaded_since = self.link.overloaded_since();
+        let is_usual =
+            overloaded_since.is_none_or(|since| now.saturating_sub(since) >= USUAL_AFTER);
+        self.accounts
+            .record(arrival.account, arrival.bytes, is_usual, now);
         let is_excess = self.is_overloaded() && self.accounts.take_excess(arrival.account, now);
         let class = Class::new(arrival.urgency, is_excess);
         let most = class.longest_wait(arrival.objective);
