--- a/crates/gateway/src/control/news.rs
+++ b/crates/gateway/src/control/news.rs
@@ -58,8 +58,10 @@
 /// Compares what this entry knows with another one from time to time; never returns.
 pub async fn compare_news<P: Protocol>(state: Rc<State<P>>) {
     loop {
+        let due = state.now() + INTERVAL;
         sleep(INTERVAL.duration()).await;
         state.note_freeze();
+        state.record_delay(due);
         state.ticked_at.set(Some(state.now()));
         state.forget_gone_targets();
         let is_changed = state.knowledge.borrow_mut().expire(state.now());
@@ -70,7 +72,9 @@
         let chosen = select(&peers, MAX_TRIED, &mut rand::rng());
         let mut is_isolated = !chosen.is_empty();
         for peer in chosen {
+            let begun = state.now();
             if compare(&state, peer).await {
+                state.record_delay(begun);
                 is_isolated = false;
                 break;
             }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -69,8 +69,9 @@
         self.with_intake(|intake, now| intake.record_connection(now));
     }
 
-    /// Records how long it took to open a connection that was begun at this time.
-    pub fn record_connect(&self, begun: Millis) {
+    /// Records the delay of what should have been done at this time: a connection that was begun, an
+    /// answer of another entry, a task of this one.
+    pub fn record_delay(&self, begun: Millis) {
         self.with_intake(|intake, now| intake.record_delay(now.saturating_sub(begun), now));
     }
 
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -495,7 +495,7 @@
             Some(conn) => conn,
             None => match pool.connect().await {
                 Ok(conn) => {
-                    self.state.record_connect(begun);
+                    self.state.record_delay(begun);
                     conn
                 }
                 Err(error) => {
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -131,7 +131,7 @@
         self.readiness.record_connection(now);
     }
 
-    /// Records how long it took to open a connection.
+    /// Records a delay of a connection, a call to another entry or a task.
     pub fn record_delay(&mut self, delay: Millis, now: Millis) {
         self.link.record_delay(delay, now);
     }
--- a/crates/intake/src/link.rs
+++ b/crates/intake/src/link.rs
@@ -8,7 +8,7 @@
 /// Share of the capacity from which the link counts as full. Above it, queues at the sender grow: bytes
 /// are counted after they have passed the link, so that the measured rate never exceeds the capacity.
 const FULL_SHARE: f64 = 0.85;
-/// The same while connections open late.
+/// The same while connections, answers of other entries or tasks of this one are late.
 const FULL_SHARE_LATE: f64 = 0.75;
 /// Share of the capacity below which an overload ends.
 const FREE_SHARE: f64 = 0.7;
@@ -16,7 +16,7 @@
 const FULL_TIME: Millis = Millis::new(300);
 /// The link must be below [`FREE_SHARE`] for this long until an overload ends.
 const FREE_TIME: Millis = Millis::new(1_000);
-/// A delay of this length is a sign of a full link: a round trip between zones takes a few milliseconds.
+/// A delay of this length is a sign of overload: a round trip between zones takes a few milliseconds.
 const LATE: Millis = Millis::new(100);
 /// How long a delay counts as a sign.
 const LATE_TIME: Millis = Millis::new(2_000);
@@ -100,7 +100,7 @@
         self.pending[direction as usize] += bytes + packets * PACKET_HEADER_BYTES;
     }
 
-    /// Records how long it took to open a connection, or another round trip over the link.
+    /// Records how long it took to open a connection or to call another entry, or how late a task ran.
     pub fn record_delay(&mut self, delay: Millis, now: Millis) {
         if delay >= LATE {
             self.late_at = Some(now);
@@ -117,7 +117,7 @@
         self.full_since = None;
     }
 
-    /// Returns true if connections have opened late recently.
+    /// Returns true if something was late recently.
     pub fn is_late(&self, now: Millis) -> bool {
         self.late_at
             .is_some_and(|at| now.saturating_sub(at) < LATE_TIME)
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -103,7 +103,8 @@
     PromptRefused,
     /// The client account has more requests in flight than its share allows.
     AccountLimited,
-    /// The pool of the route class is full, and its queue is too long to meet the deadline.
+    /// The pool of the route class is full, and its queue is too long to meet the deadline; or the link
+    /// of the entry is full.
     Overloaded,
     /// The deadline passed before any target ran the request.
     DeadlineBeforeStart,
