--- a/crates/intake/src/link.rs
+++ b/crates/intake/src/link.rs
@@ -123,7 +123,7 @@
             .is_some_and(|at| now.saturating_sub(at) < LATE_TIME)
     }
 
-    /// Bytes per [`RATE_TIME`] that the entry has sent, at the present rate.
+    /// Bytes that the entry has sent within [`Link::rate_time`], at the present rate.
     pub fn sent(&self, now: Millis) -> f64 {
         self.sums[Direction::Out as usize].get(RATE_TIME, now)
     }
--- a/crates/intake/tests/intake.rs
+++ b/crates/intake/tests/intake.rs
@@ -128,7 +128,7 @@
         let running = self.entries.len();
         for now in (from..to).step_by(STEP as usize) {
             for index in 0..running {
-                for account in 0..ACCOUNTS.len() {
+                for (account, name) in ACCOUNTS.into_iter().enumerate() {
                     let entry = &mut self.entries[index];
                     let share = 1.0 - entry.moved;
                     let due = &mut self.due[index][account];
@@ -136,7 +136,7 @@
                     while *due >= 1.0 {
                         *due -= 1.0;
                         let urgency = u8::from(account != 0);
-                        entry.queue.push_back((ACCOUNTS[account].into(), urgency));
+                        entry.queue.push_back((name.into(), urgency));
                     }
                 }
                 let counts = &mut self.counts[index];
@@ -172,7 +172,7 @@
             }
             let zone = self.entries.len();
             for (index, entry) in self.entries.iter_mut().enumerate() {
-                if (now + index as u64 * 70) % 1_000 == 0 {
+                if (now + index as u64 * 70).is_multiple_of(1_000) {
                     let is_ready = entry.intake.is_ready(zone, Millis::new(now));
                     entry.misses = if is_ready { 0 } else { entry.misses + 1 };
                     entry.is_in_rotation = entry.misses < 2;
