A single entry refuses nothing for its link

Cause: callers that are refused need another entry. Change: refusals need another running entry, as of the last readiness check.

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -99,6 +99,8 @@
     backlog: f64,
     drained_at: Millis,
     overloaded_at: Millis,
+    /// Other entries run, which can serve what this one refuses; as of the last readiness check.
+    has_others: bool,
     /// Refused requests of each class since the last admitted one.
     refused_in_row: [u32; 3],
     /// Bounded by its reader, which takes the changes after each call.
@@ -116,6 +118,7 @@
             backlog: 0.0,
             drained_at: Millis::ZERO,
             overloaded_at: Millis::ZERO,
+            has_others: false,
             refused_in_row: [0; 3],
             changes: Vec::new(),
         }
@@ -197,7 +200,8 @@
     /// Decides about a new request.
     ///
     /// # Errors
-    /// [`Rejection`], if the link is overloaded and the request would queue for too long.
+    /// [`Rejection`], if the link is overloaded, the request would queue for too long, and another entry
+    /// runs.
     pub fn admit(&mut self, arrival: &Arrival<'_>, now: Millis) -> Result<(), Rejection> {
         self.evaluate(now);
         self.drain(now);
@@ -210,11 +214,9 @@
         let class = Class::new(arrival.urgency, is_excess);
         let most = class.longest_wait(arrival.objective);
         let wait = Millis::new((self.backlog / self.admission_rate()) as u64);
+        let may_refuse = self.is_overloaded() && self.has_others;
         let refused_in_row = &mut self.refused_in_row[class as usize];
-        if self.link.overloaded_since().is_some()
-            && wait > most
-            && *refused_in_row < MOST_REFUSED_IN_ROW
-        {
+        if may_refuse && wait > most && *refused_in_row < MOST_REFUSED_IN_ROW {
             *refused_in_row += 1;
             return Err(Rejection {
                 wait,
@@ -224,8 +226,9 @@
         }
         *refused_in_row = 0;
         self.backlog += self.expected_bytes(arrival.bytes, now);
-        // Without an overload nothing queues; the link has room for what exceeds this.
-        if !self.is_overloaded() {
+        // Without refusals nothing else bounds the estimate, and an overload that begins later would have
+        // to refuse until it is drained.
+        if !may_refuse {
             let most = Link::rate_time().get() as f64 * self.admission_rate();
             self.backlog = self.backlog.min(most);
         }
@@ -238,6 +241,7 @@
     /// entries.
     pub fn is_ready(&mut self, entries: usize, now: Millis) -> bool {
         self.evaluate(now);
+        self.has_others = entries > 1;
         let returned = self.readiness.come_back(self.is_overloaded(), entries, now);
         if let Some((reason, away)) = returned {
             self.changes.push(Change::Returned(reason, away));
--- a/crates/intake/tests/intake.rs
+++ b/crates/intake/tests/intake.rs
@@ -323,10 +323,10 @@
     }
 }
 
-/// Guards against an entry alone that leaves, and against one that takes the queue of its freeze for an
+/// Guards against an entry alone that leaves or refuses, and against one that takes the queue of its freeze for an
 /// overload.
 #[gtest]
-fn a_single_entry_never_leaves_and_a_frozen_one_starts_anew() {
+fn a_single_entry_takes_everything_and_a_frozen_one_starts_anew() {
     let mut zone = Zone::new([10.0].into_iter());
     zone.run(0, 20_000, |entry, _, account| usual(entry, account));
     zone.run(20_000, 24_000, |entry, _, account| {
@@ -334,6 +334,8 @@
     });
     expect_that!(zone.left(), each(eq(&0)));
     expect_that!(zone.entries[0].intake.is_overloaded(), eq(true));
+    let refused = zone.counts[0].map(|counts| counts.refused);
+    expect_that!(refused, eq([0; 4]), "no other entry can serve them");
 
     let mut entry = Entry::new(10.0);
     for _ in 0..400 {
