--- a/crates/intake/src/readiness.rs
+++ b/crates/intake/src/readiness.rs
@@ -3,9 +3,9 @@
 use cyc_types::Millis;
 use strum::{Display, IntoStaticStr};
 
-/// The entry must be overloaded for this long: the platform needs two seconds to react, so that it
-/// would be too late for shorter bursts.
-const OVERLOAD_TIME: Millis = Millis::new(500);
+/// The entry must be overloaded for this long: a burst has then lasted about a second. Each further
+/// delay may cost a whole second, until the next check of the platform.
+const OVERLOAD_TIME: Millis = Millis::new(200);
 /// Entries that must run: another one has to take the load.
 const LEAST_ENTRIES: usize = 2;
 /// Least time out of rotation; the platform needs two seconds to notice.
