--- a/crates/obs/src/names.rs
+++ b/crates/obs/src/names.rs
@@ -73,3 +73,11 @@
 pub const PREPAID_SHORT_ACCOUNTS: &str = "prepaid_short_accounts";
 /// Counter: loans of an account that runs short, one request at a time.
 pub const PREPAID_LAST_LOANS: &str = "prepaid_last_loans";
+/// Counter: overloads of this entry by its callers.
+pub const ENTRY_OVERLOADS: &str = "entry_overloads";
+/// Counter: how often this entry left the rotation because of an overload.
+pub const ENTRY_ABSENCES: &str = "entry_absences";
+/// Counter: requests refused because the link of this entry is full.
+pub const OVERLOAD_REFUSALS: &str = "overload_refusals";
+/// Counter: connections of callers closed because the link of this entry is full.
+pub const OVERLOAD_CLOSES: &str = "overload_closes";
