prepaid: bound on loans in advance; an owner that cannot draw says so

During a shortage every refusal named other entries as the place of the tokens, so no acting owner drew. A borrower that had acted as owner did not correct its holding in the record.

Change: what waiting requests lack is lent as before; what is asked for in advance is at most a fifth of what the owner may hold, over all borrowers. Loan requests tell what the waiting requests lack. Borrowers correct the record of an account that runs short; a record older than the last one seen is ignored.

--- a/crates/gateway/src/control/loans.rs
+++ b/crates/gateway/src/control/loans.rs
@@ -267,6 +267,7 @@
         delivery: Some(delivery),
         rank: first.map_or(0, |claim| claim.rank),
         waited: first.map_or(Millis::ZERO, |claim| now.saturating_sub(claim.since)),
+        lack: Some(state.allocations.borrow().lack(account)),
     };
     let reply: Result<LoanReply, CallError> = call(state, lender.addr, LOAN_PATH, &request).await;
     state
@@ -439,13 +440,7 @@
     let mut allocations = state.allocations.borrow_mut();
     let tokens = allocations.lend(request, now);
     let is_short = allocations.is_short(account, now);
-    let short = (tokens < request.least).then(|| {
-        match allocations.shortage(account, request.least, now) {
-            // The tokens here are for requests that come first.
-            Shortage::Drawable if is_short && request.should_draw => Shortage::Elsewhere,
-            shortage => shortage,
-        }
-    });
+    let short = (tokens < request.least).then(|| allocations.loan_shortage(request, now));
     let left = short.and_then(|_| allocations.left(account, now));
     let exhausted_total = short.and_then(|_| allocations.exhausted_total(account));
     drop(allocations);
--- a/crates/gateway/tests/gateway/loan.rs
+++ b/crates/gateway/tests/gateway/loan.rs
@@ -66,6 +66,7 @@
         delivery: None,
         rank: 0,
         waited: Millis::ZERO,
+        lack: None,
     }
 }
 
@@ -435,3 +436,22 @@
     expect_false!(restarted.accept_return(&token_return, NOW));
     expect_that!(restarted.holding(&account()).0, eq(Tokens::ZERO));
 }
+
+/// During a shortage, an owner that cannot draw must still say so: another entry draws in its place. If
+/// it only serves other requests first, no other entry must draw.
+#[gtest]
+fn an_owner_that_cannot_draw_says_so_during_a_shortage() {
+    let mut lender = owner(99_000);
+    let reserved = lender.reserve(&account(), tokens(98_500), NOW);
+    expect_that!(reserved, ok(anything()));
+    lender.settle(&reserved.unwrap(), tokens(98_500), NOW);
+    expect_true!(lender.is_short(&account(), NOW));
+    let large = request("vm-2", demand(&mut borrower("vm-2", 0), 900));
+    expect_that!(lender.lend(&large, NOW), eq(Tokens::ZERO));
+    expect_that!(lender.loan_shortage(&large, NOW), eq(Shortage::Drawable));
+    let mut small = request("vm-2", demand(&mut borrower("vm-2", 0), 400));
+    small.rank = 1;
+    lender.add_waiter(&account(), tokens(300));
+    expect_that!(lender.lend(&small, NOW), eq(Tokens::ZERO));
+    expect_that!(lender.loan_shortage(&small, NOW), eq(Shortage::Elsewhere));
+}
--- a/crates/gateway/tests/gateway/prepaid_model.rs
+++ b/crates/gateway/tests/gateway/prepaid_model.rs
@@ -280,6 +280,7 @@
         delivery: Some(delivery),
         rank: 0,
         waited: Millis::ZERO,
+        lack: None,
     };
     let lent = match fate {
         Fate::Answered | Fate::ResponseLost => entries[from].allocations.lend(&request, now),
--- a/crates/prepaid/src/loan.rs
+++ b/crates/prepaid/src/loan.rs
@@ -26,6 +26,8 @@
 const SHORT_IDLE_DIVISOR: u64 = 100_000;
 /// Divisor of the smallest useful loan; lending less than this fraction is not worth a message.
 const MIN_LOAN_DIVISOR: u64 = 8;
+/// Divisor of what an owner may hold: tokens that it may lend in advance to all borrowers together.
+const ADVANCE_DIVISOR: u64 = 5;
 /// Time constant with which borrowers are assumed to use up a loan.
 const LOAN_DECAY: Millis = Millis::new(2_000);
 /// How long an entry draws in place of an unavailable owner.
@@ -72,9 +74,19 @@
     /// How long the borrower's first request has waited.
     #[serde(default)]
     pub waited: Millis,
+    /// What the waiting requests lack; the rest of `want` is asked for in advance. Entries of earlier
+    /// versions do not tell.
+    #[serde(default)]
+    pub lack: Option<Tokens>,
 }
 
 impl LoanRequest {
+    /// What the waiting requests lack, as far as the borrower has told.
+    fn known_lack(&self) -> Tokens {
+        let lack = self.lack.unwrap_or(self.least);
+        lack.max(self.least).min(self.want)
+    }
+
     /// The claim of the borrower's smallest waiting request.
     pub fn claim(&self, now: Millis) -> Claim {
         Claim {
@@ -173,15 +185,26 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Loan {
     tokens: Tokens,
+    /// The part that no request waited for.
+    advance: Tokens,
     at: Millis,
 }
 
 impl Loan {
     /// Estimates the tokens that the borrower has not used yet.
     fn outstanding(&self, now: Millis) -> Tokens {
+        self.decayed(self.tokens, LOAN_DECAY, now)
+    }
+
+    /// The same for tokens that no request waited for.
+    fn outstanding_advance(&self, now: Millis) -> Tokens {
+        self.decayed(self.advance, LOAN_LOOKAHEAD, now)
+    }
+
+    fn decayed(&self, tokens: Tokens, time_constant: Millis, now: Millis) -> Tokens {
         let age = now.saturating_sub(self.at).get() as f64;
-        let part = (-age / LOAN_DECAY.get() as f64).exp();
-        Tokens::new((self.tokens.get() as f64 * part) as u64)
+        let part = (-age / time_constant.get() as f64).exp();
+        Tokens::new((tokens.get() as f64 * part) as u64)
     }
 }
 
@@ -290,12 +313,28 @@
         others.into_iter().map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// Tokens that may be lent in advance: they are lost with the borrowers like those that the owner
+    /// holds itself.
+    fn max_advance(&self, request: &LoanRequest, now: Millis) -> Tokens {
+        let wanted = request.want.saturating_sub(request.known_lack());
+        let allocation = self.by_account.get(&request.account);
+        let max = allocation.and_then(|allocation| {
+            let (_, record) = allocation.last_record.as_ref()?;
+            let max = self.max_held_of(allocation, record, allocation.paid?, now);
+            let loans = allocation.loans.values();
+            let lent: Tokens = loans.map(|loan| loan.outstanding_advance(now)).sum();
+            Some(Tokens::new(max.get() / ADVANCE_DIVISOR).saturating_sub(lent))
+        });
+        wanted.min(max.unwrap_or(wanted))
+    }
+
     /// Debits a loan and returns its tokens: up to half of the free tokens, or, if that does not
     /// reach the smallest useful loan, all that this entry can spare. A fraction of the smallest
     /// useful loan is lent too if it is worth a message, because the borrower asks several entries.
     pub fn lend(&mut self, request: &LoanRequest, now: Millis) -> Tokens {
         // Only the entry that draws decides who gets the last tokens; any other one helps.
         let is_short = request.should_draw && self.is_short(&request.account, now);
+        let advance = self.max_advance(request, now);
         let Some(allocation) = self.by_account.get_mut(&request.account) else {
             return Tokens::ZERO;
         };
@@ -310,12 +349,13 @@
                 loan.tokens = loan.tokens.saturating_sub(taken_back);
             }
         }
+        let lack = request.known_lack();
         let half = Tokens::new(allocation.free.get() / 2);
         let spare = allocation.spare(request.least);
         let given = if is_short {
             allocation.last_loan(request, now)
         } else if half >= request.least {
-            request.want.min(half)
+            (lack + advance).min(half)
         } else {
             request.least.min(spare)
         };
@@ -328,6 +368,7 @@
             messages.record_lent(given);
         }
         let loan = allocation.loans.entry(request.from.clone()).or_default();
+        loan.advance = loan.outstanding_advance(now) + given.saturating_sub(lack);
         loan.tokens = loan.outstanding(now) + given;
         loan.at = now;
         // For the size of draws, lent tokens count as used.
@@ -463,6 +504,26 @@
         }
     }
 
+    /// Why this entry does not grant the loan.
+    pub fn loan_shortage(&self, request: &LoanRequest, now: Millis) -> Shortage {
+        let (free, _) = self.holding(&request.account);
+        let is_queue =
+            free >= request.least && request.should_draw && self.is_short(&request.account, now);
+        match self.shortage(&request.account, request.least, now) {
+            // The tokens here are for requests that come first; another entry must not draw too.
+            Shortage::Drawable if is_queue => Shortage::Elsewhere,
+            shortage => shortage,
+        }
+    }
+
+    /// Tokens that the waiting requests of an account lack.
+    pub fn lack(&self, account: &ClientAccountId) -> Tokens {
+        let allocation = self.by_account.get(account);
+        allocation.map_or(Tokens::ZERO, |allocation| {
+            allocation.total_waiting().saturating_sub(allocation.free)
+        })
+    }
+
     /// The waiting request of an account that comes first.
     pub fn first_claim(&self, account: &ClientAccountId) -> Option<Claim> {
         let waiting = &self.by_account.get(account)?.waiting;
--- a/crates/prepaid/src/plan.rs
+++ b/crates/prepaid/src/plan.rs
@@ -132,8 +132,8 @@
         let is_due = |account: &ClientAccountId, allocation: &Allocation| {
             let role = role(account);
             allocation.pending.is_some()
-                || self.needs_read(allocation, role, now)
-                || self.next_transfer(allocation, role, now).is_some()
+                || self.needs_read(account, allocation, role, now)
+                || self.next_transfer(account, allocation, role, now).is_some()
         };
         let due = self
             .by_account
@@ -146,17 +146,25 @@
     pub fn must_read(&self, account: &ClientAccountId, role: Role, now: Millis) -> bool {
         let allocation = self.by_account.get(account);
         allocation.is_some_and(|allocation| {
-            allocation.is_unanswered || self.needs_read(allocation, role, now)
+            allocation.is_unanswered || self.needs_read(account, allocation, role, now)
         })
     }
 
-    fn needs_read(&self, allocation: &Allocation, role: Role, now: Millis) -> bool {
+    fn needs_read(
+        &self,
+        account: &ClientAccountId,
+        allocation: &Allocation,
+        role: Role,
+        now: Millis,
+    ) -> bool {
         if self.is_closed {
             return (allocation.last_record.is_none() || allocation.is_outdated)
                 && !allocation.free.is_zero();
         }
         if !allocation.may_draw(role, now) {
-            return false;
+            // Otherwise a correction would fail again and again.
+            return allocation.is_outdated
+                && self.next_transfer(account, allocation, role, now).is_some();
         }
         let is_old = now.saturating_sub(allocation.read_at) >= REREAD_AFTER;
         let is_short = allocation
@@ -182,6 +190,12 @@
         }
         let (me, start) = (self.me.clone(), self.incarnation);
         let allocation = self.allocation(account);
+        let last_version = allocation.last_record.as_ref();
+        let last_version = last_version.and_then(|(version, _)| *version);
+        if version.is_some() && version < last_version {
+            allocation.is_outdated = true;
+            return None;
+        }
         let mut resolved = None;
         if let Some(write) = &allocation.pending {
             if version.is_some() && version < write.base {
@@ -212,7 +226,7 @@
         if let Some(pending) = &allocation.pending {
             return Some(pending.clone());
         }
-        let transfer = self.next_transfer(allocation, role, now)?;
+        let transfer = self.next_transfer(account, allocation, role, now)?;
         let (base, mut record) = allocation.last_record.clone()?;
         let base_epoch = record.epoch();
         let writer = format!("{}/{}/{}", self.me, self.incarnation, allocation.writes + 1);
@@ -280,7 +294,13 @@
     }
 
     /// Returns the transfer that is due; an empty one if the record only has to be corrected.
-    fn next_transfer(&self, allocation: &Allocation, role: Role, now: Millis) -> Option<Transfer> {
+    fn next_transfer(
+        &self,
+        account: &ClientAccountId,
+        allocation: &Allocation,
+        role: Role,
+        now: Millis,
+    ) -> Option<Transfer> {
         let (_, record) = allocation.last_record.as_ref()?;
         let paid = allocation.paid.unwrap_or_default();
         let transfer = match role {
@@ -296,13 +316,19 @@
             }
             Role::Borrower => Transfer::default(),
         };
-        (!transfer.is_empty() || self.is_correction_due(allocation, record, now))
+        (!transfer.is_empty() || self.is_correction_due(account, allocation, record, now))
             .then_some(transfer)
     }
 
     /// Returns true if the record of a nearly exhausted account overstates the tokens that this
     /// entry holds, or if the record counts this entry as ended.
-    fn is_correction_due(&self, allocation: &Allocation, record: &Record, now: Millis) -> bool {
+    fn is_correction_due(
+        &self,
+        account: &ClientAccountId,
+        allocation: &Allocation,
+        record: &Record,
+        now: Millis,
+    ) -> bool {
         let is_old = now.saturating_sub(allocation.written_at) >= MIN_CORRECTION_INTERVAL;
         if record.is_counted_as_ended(&self.me, self.incarnation) {
             return is_old;
@@ -314,12 +340,14 @@
         let recorded = recorded.map_or(Tokens::ZERO, |mine| mine.unspent);
         // While nothing can be drawn, callers of other entries wait in vain for what the record
         // overstates.
+        let is_told_short = self.is_told_short(account, now);
         let divisor = match left {
+            _ if is_told_short => MAX_ERROR_DIVISOR,
             0 => MAX_ERROR_DIVISOR,
             _ => MIN_SURPLUS_DIVISOR,
         };
         let is_wrong = recorded.saturating_sub(allocation.unspent()).get() > paid / divisor;
-        is_wrong && is_old && left < paid * SCARCE_PERCENT / 100
+        is_wrong && is_old && (is_told_short || left < paid * SCARCE_PERCENT / 100)
     }
 
     fn owner_transfer(&self, allocation: &Allocation, record: &Record, now: Millis) -> Transfer {
@@ -345,6 +373,19 @@
         })
     }
 
+    /// Maximum tokens that the owner holds.
+    pub(crate) fn max_held_of(
+        &self,
+        allocation: &Allocation,
+        record: &Record,
+        paid: Tokens,
+        _now: Millis,
+    ) -> Tokens {
+        let left = paid.saturating_sub(record.drawn);
+        let total = self.held_elsewhere(record) + allocation.unspent() + left;
+        Tokens::new(max_held(record, paid, total))
+    }
+
     /// Tokens that the owner should hold. The limit does not depend on which entries hold the
     /// remaining tokens, so that a change of owner moves no tokens twice.
     fn intended_holding(
@@ -354,9 +395,7 @@
         paid: Tokens,
         now: Millis,
     ) -> Holding {
-        let left = paid.saturating_sub(record.drawn);
-        let total = self.held_elsewhere(record) + allocation.unspent() + left;
-        let max = Tokens::new(max_held(record, paid, total));
+        let max = self.max_held_of(allocation, record, paid, now);
         let min = Tokens::new(paid.get() / FIRST_DRAW_DIVISOR);
         let needed = allocation.expected_need(now).max(min);
         let refill_percent = match needed > max {
--- a/crates/prepaid/tests/prepaid/sim.rs
+++ b/crates/prepaid/tests/prepaid/sim.rs
@@ -385,6 +385,7 @@
             delivery: None,
             rank: first.map_or(0, |claim| claim.rank),
             waited: first.map_or(Millis::ZERO, |claim| now.saturating_sub(claim.since)),
+            lack: Some(entry.allocations.lack(&account())),
         };
         entry.asking = Some(Asking {
             lender,
@@ -545,12 +546,7 @@
 fn lend(allocations: &mut Allocations, request: &LoanRequest, now: Millis) -> LoanReply {
     let tokens = allocations.lend(request, now);
     let is_short = allocations.is_short(&account(), now);
-    let short = (tokens < request.least).then(|| {
-        match allocations.shortage(&account(), request.least, now) {
-            Shortage::Drawable if is_short && request.should_draw => Shortage::Elsewhere,
-            shortage => shortage,
-        }
-    });
+    let short = (tokens < request.least).then(|| allocations.loan_shortage(request, now));
     LoanReply {
         tokens,
         short,
