--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,5 +1,6 @@
-//! Stand-ins and cases of the second review. `review-standin-2 CASE PROGRAM FOLDER` runs a case with
-//! the program at this path, writes `record.txt` into the folder, and ends with 1 if the rule was
+//! Stand-ins and cases of the second review. `review-standin-2 CASE PROGRAM FOLDER TEMPORARY` runs a
+//! case with the program at this path, writes `record.txt` into the folder and all else into the
+//! temporary one, which the caller removes, and ends with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case could not run.
 
 mod engine;
@@ -10,24 +11,23 @@
 mod record;
 mod store;
 
-use std::{
-    path::{Path, PathBuf},
-    process::ExitCode,
-    sync::Mutex,
-};
+use std::{path::Path, process::ExitCode, sync::Mutex, thread, time::Duration};
 
 use record::Record;
 
 /// What engines have run: id, tenant, token counts.
 pub static RUNS: Mutex<Vec<(String, String, String)>> = Mutex::new(Vec::new());
 
+/// A case that takes longer could not run.
+const LONGEST: Duration = Duration::from_secs(116);
+
 /// What a case found, or why it could not run.
 pub type Outcome = Result<bool, String>;
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, program, folder] = args.as_slice() else {
-        eprintln!("usage: review-standin-2 CASE PROGRAM FOLDER");
+    let [_, case, program, folder, temporary] = args.as_slice() else {
+        eprintln!("usage: review-standin-2 CASE PROGRAM FOLDER TEMPORARY");
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -38,20 +38,18 @@
             return ExitCode::from(2);
         }
     };
-    let temporary: PathBuf =
-        std::env::temp_dir().join(format!("review-2-{case}-{}", std::process::id()));
-    if let Err(error) = std::fs::create_dir_all(&temporary) {
-        eprintln!("{}: {error}", temporary.display());
-        return ExitCode::from(2);
-    }
+    // The caller ends the processes of the case.
+    let late = record.clone();
+    thread::spawn(move || {
+        thread::sleep(LONGEST);
+        late.show("the case could not run: it took too long");
+        std::process::exit(2);
+    });
     let program = Path::new(program);
     let outcome = match case.as_str() {
-        "prepaid" => prepaid::run(program, &temporary, &record, has_trouble),
+        "prepaid" => prepaid::run(program, Path::new(temporary), &record, has_trouble),
         other => Err(format!("no case {other}")),
     };
-    if std::env::var_os("KEEP").is_none() {
-        std::fs::remove_dir_all(&temporary).ok();
-    }
     match outcome {
         Ok(true) => {
             record.show("the rule held");
--- a/review/standin-2/src/prepaid.rs
+++ b/review/standin-2/src/prepaid.rs
@@ -139,7 +139,7 @@
         let long = record.clone();
         let stream = thread::spawn(move || send(front, 0, "/chat/long", &long));
         thread::sleep(Duration::from_millis(700));
-        entry.terminate();
+        entry.terminate()?;
         let lossy = store.clone();
         let loss = thread::spawn(move || {
             if has_trouble {
@@ -179,11 +179,11 @@
         }
     });
     drop(entry);
-    Ok(judge(record))
+    judge(record)
 }
 
 /// Compares what the tenants got with what they paid for.
-fn judge(record: &Record) -> bool {
+fn judge(record: &Record) -> Outcome {
     let mut inputs: BTreeMap<String, u64> = BTreeMap::new();
     for (_, tenant, counts) in RUNS.lock().unwrap().iter() {
         let input = counts
@@ -194,16 +194,21 @@
     }
     let events = EVENTS.lock().unwrap();
     let mut is_kept = true;
+    let mut are_used_up = inputs.len() == TENANTS;
     for (tenant, input) in &inputs {
         let output = events.get(tenant).copied().unwrap_or(0) * STRIDE;
         let used = input + output;
         let is_over = used > PREPAID;
         is_kept &= !is_over;
+        are_used_up &= used >= PREPAID / 10 * 9;
         record.show(&format!(
             "{tenant}: {input} input tokens, {output} output tokens delivered, {used} of {PREPAID} \
              prepaid{}",
             if is_over { ": MORE THAN PREPAID" } else { "" }
         ));
     }
-    is_kept
+    match is_kept && !are_used_up {
+        true => Err("the tenants did not use up what they paid for".into()),
+        false => Ok(is_kept),
+    }
 }
--- a/review/standin-2/src/process.rs
+++ b/review/standin-2/src/process.rs
@@ -48,6 +48,8 @@
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// Holds the process id while the entry runs.
+    pid: PathBuf,
     child: Option<Child>,
     name: String,
     record: Record,
@@ -71,6 +73,7 @@
             program: program.into(),
             settings: path,
             log: folder.join(format!("{name}.log")),
+            pid: folder.join(format!("{name}.pid")),
             child: None,
             name: name.into(),
             record,
@@ -87,8 +90,9 @@
             .stderr(log)
             .spawn()?;
         self.record.line(&format!("platform: starts {}", self.name));
+        let id = child.id().to_string();
         self.child = Some(child);
-        Ok(())
+        fs::write(&self.pid, id)
     }
 
     /// Waits until the entry says that it is ready.
@@ -112,12 +116,16 @@
         false
     }
 
-    pub fn terminate(&mut self) {
-        if let Some(child) = &self.child {
-            self.record
-                .line(&format!("platform: SIGTERM to {}", self.name));
-            let id = child.id().to_string();
-            Command::new("kill").args(["-TERM", &id]).status().ok();
+    /// Sends SIGTERM with the command that each shell has built in.
+    pub fn terminate(&mut self) -> Result<(), String> {
+        let child = self.child.as_ref().ok_or("the entry does not run")?;
+        self.record
+            .line(&format!("platform: SIGTERM to {}", self.name));
+        let command = format!("kill -TERM {}", child.id());
+        let status = Command::new("sh").args(["-c", &command]).status();
+        match status {
+            Ok(status) if status.success() => Ok(()),
+            _ => Err("SIGTERM could not be sent".into()),
         }
     }
 
@@ -132,6 +140,7 @@
                 self.record
                     .line(&format!("platform: {} has ended", self.name));
                 self.child = None;
+                fs::remove_file(&self.pid).ok();
                 return;
             }
             thread::sleep(Duration::from_millis(10));
@@ -141,6 +150,7 @@
         child.kill().ok();
         child.wait().ok();
         self.child = None;
+        fs::remove_file(&self.pid).ok();
     }
 }
 
@@ -149,6 +159,7 @@
         if let Some(child) = &mut self.child {
             child.kill().ok();
             child.wait().ok();
+            fs::remove_file(&self.pid).ok();
         }
     }
 }
